Ownership: pure agents, grant tables and the stateful fault property

What was found: durations that start at the receiver let a frozen server wake, read a buffered renewal and serve keys that were waited out; orders therefore carry a stamp of the server's own clock and grants run from it. Counterexamples found by the property and mended: an item was granted to its present owner while a change of owner was being written; a controller that renewed its own set forgot what servers may hold; exempting dead members from the authority rule (found on paper) let a survivor renew for ever.

--- /dev/null
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+/// @file
+/// @brief The one public header of the decision library.
+
+#include "acaciagauge/detail/assignment/domain_record.hpp"
+#include "acaciagauge/detail/common/ids.hpp"
+#include "acaciagauge/detail/common/result.hpp"
+#include "acaciagauge/detail/common/time.hpp"
+#include "acaciagauge/detail/keyspace/partition.hpp"
+#include "acaciagauge/detail/ownership/agent.hpp"
+#include "acaciagauge/detail/ownership/grant_table.hpp"
+#include "acaciagauge/detail/ownership/messages.hpp"
+#include "acaciagauge/detail/ownership/orders.hpp"
+#include "acaciagauge/detail/planning/planner.hpp"
+#include "acaciagauge/detail/tickets/ticket.hpp"
--- /dev/null
+++ b/src/core/domain_record.cpp
@@ -0,0 +1,93 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace acaciagauge {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    Json membersJson(const std::vector<Member>& members)
+    {
+        Json list = Json::array();
+        for (const auto& it : members)
+            list.push_back({ it.id, it.incarnation });
+        return list;
+    }
+
+    Json setJson(const RenewerSet& set)
+    {
+        return { { "epoch", set.epoch }, { "members", membersJson(set.members) } };
+    }
+
+    RenewerSet readSet(const Json& document)
+    {
+        RenewerSet set;
+        set.epoch = document.at("epoch").get<Epoch>();
+        for (const auto& it : document.at("members"))
+            set.members.push_back({ it.at(0).get<InstanceId>(), it.at(1).get<Incarnation>() });
+        return set;
+    }
+
+} // namespace
+
+bool contains(const RenewerSet& set, const Member& member)
+{
+    return std::find(set.members.begin(), set.members.end(), member) != set.members.end();
+}
+
+Json toJson(const DomainRecord& record)
+{
+    Json document { { "domain", record.domain },
+        { "controller", { record.controller.id, record.controller.incarnation } },
+        { "renewers", setJson(record.renewers) }, { "version", record.version }, { "writer", record.writer } };
+    document["former"] = Json::array();
+    for (const auto& it : record.former)
+        document["former"].push_back(setJson(it));
+    // Partitions with equal server and fence share one entry: [service, server, epoch, sequence, partitions, keys].
+    std::map<std::tuple<ServiceName, ServerId, Fence>, std::pair<Json, Json>> groups;
+    for (const auto& it : record.items) {
+        auto& group = groups[{ it.first.service, it.second.server, it.second.fence }];
+        if (it.first.key.empty())
+            group.first.push_back(it.first.partition);
+        else
+            group.second.push_back(Json { it.first.partition, it.first.key });
+    }
+    document["items"] = Json::array();
+    for (auto& it : groups) {
+        const auto& [service, server, fence] = it.first;
+        document["items"].push_back(
+            { service, server, fence.epoch, fence.sequence, it.second.first, it.second.second });
+    }
+    return document;
+}
+
+Result<DomainRecord> domainRecordFromJson(const Json& document)
+{
+    try {
+        DomainRecord record;
+        record.domain = document.at("domain").get<DomainId>();
+        record.controller.id = document.at("controller").at(0).get<InstanceId>();
+        record.controller.incarnation = document.at("controller").at(1).get<Incarnation>();
+        record.renewers = readSet(document.at("renewers"));
+        for (const auto& it : document.at("former"))
+            record.former.push_back(readSet(it));
+        record.version = document.at("version").get<std::uint64_t>();
+        record.writer = document.at("writer").get<std::string>();
+        for (const auto& it : document.at("items")) {
+            auto service = it.at(0).get<ServiceName>();
+            Holding holding { it.at(1).get<ServerId>(), { it.at(2).get<Epoch>(), it.at(3).get<std::uint64_t>() } };
+            for (const auto& partition : it.at(4))
+                record.items[{ service, partition.get<std::uint32_t>(), "" }] = holding;
+            for (const auto& key : it.at(5))
+                record.items[{ service, key.at(0).get<std::uint32_t>(), key.at(1).get<std::string>() }] = holding;
+        }
+        return record;
+    } catch (const Json::exception& error) {
+        return failure(ResultCode::malformedRequest, error.what());
+    }
+}
+
+} // namespace acaciagauge
--- /dev/null
+++ b/src/core/partition.cpp
@@ -0,0 +1,35 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace acaciagauge {
+
+std::uint64_t hashOf(std::string_view space, std::string_view name)
+{
+    // The space's hash seeds the name's hash, so equal names in two spaces are independent.
+    auto seed = XXH3_64bits(space.data(), space.size());
+    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+std::uint32_t partitionOf(std::string_view service, std::string_view key, std::uint32_t partitions)
+{
+    return static_cast<std::uint32_t>(hashOf(service, key) % partitions);
+}
+
+std::vector<std::string> rendezvousOrder(std::string_view subject, std::vector<std::string> candidates)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    scored.reserve(candidates.size());
+    for (auto& it : candidates)
+        scored.emplace_back(hashOf(subject, it), std::move(it));
+    std::sort(scored.rbegin(), scored.rend());
+    std::vector<std::string> ordered;
+    ordered.reserve(scored.size());
+    for (auto& it : scored)
+        ordered.push_back(std::move(it.second));
+    return ordered;
+}
+
+} // namespace acaciagauge
