--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Entry points for people and CI. Everything else is in CMakeLists.txt.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SECONDS ?= 60
+SEED ?= 1
+
+.PHONY: all packages build test demo bench fuzz mutants format lint clean
+
+all: build
+
+# Installs what .ci/packages.txt lists; needs root on Debian 12.
+packages:
+	@scripts/packages.sh
+
+build: packages
+	@cmake -S . -B $(BUILD) >$(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	@$(MAKE) --no-print-directory -C $(BUILD) -j$(JOBS)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j4
+
+demo: build
+	@BUILD=$(BUILD) scripts/demo.sh
+
+bench: build
+	@BUILD=$(BUILD) scripts/bench.sh
+
+# Random faults for SECONDS from SEED on; prints a shrunk trace on failure.
+fuzz: build
+	@BUILD=$(BUILD) scripts/fuzz.sh $(SECONDS) $(SEED)
+
+# Breaks the code on purpose; each breakage has to be caught.
+mutants: build
+	@BUILD=$(BUILD) scripts/mutants.sh
+
+format:
+	@scripts/format.sh --fix
+
+lint: build
+	@scripts/format.sh && BUILD=$(BUILD) scripts/lint.sh
+
+clean:
+	@rm -rf $(BUILD) $(BUILD).configure.log
--- a/include/acaciagauge/detail/ownership/agent.hpp
+++ b/include/acaciagauge/detail/ownership/agent.hpp
@@ -53,6 +53,7 @@
 struct DomainPlan {
     std::set<Item> items; ///< Items whose home is this domain.
     std::vector<ServerInfo> servers;
+    std::optional<Epoch> confirmedEpoch; ///< Items without an owner are taken only by this epoch; none: by any.
 };
 struct InstancesListed {
     std::vector<InstanceId> instances; ///< Live instances of this domain.
@@ -365,6 +366,7 @@
     TimePoint m_lastJoinSent {};
     std::map<ServerId, TimePoint> m_formerStampBounds; ///< Upper bound of stamps used by members that joined.
     std::set<Item> m_items;
+    std::optional<Epoch> m_confirmedEpoch;
     std::vector<ServerInfo> m_servers;
     std::map<ServerId, ServerBook> m_books;
     std::map<Item, ServerId> m_desired;
--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,126 @@
+@0xb1c8f2a4d95e6703;
+# The protocol between the system's own processes.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("acaciagauge::wire");
+
+struct Member {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct RenewerSet {
+  epoch @0 :UInt64;
+  members @1 :List(Member);
+}
+
+struct ProvisionalMove {
+  service @0 :Text;
+  partition @1 :UInt32;
+  key @2 :Text;
+  server @3 :Text;
+  epoch @4 :UInt64;
+  sequence @5 :UInt64;
+}
+
+struct StampAge {
+  server @0 :Text;
+  ageMicros @1 :UInt64;
+}
+
+struct ServerSequence {
+  server @0 :Text;
+  sequence @1 :UInt64;
+  ageMicros @2 :UInt64;
+}
+
+struct ControlMessage {
+  from @0 :Member;
+  epoch @1 :UInt64;
+  joined @2 :Bool;
+  union {
+    ping @3 :UInt64;
+    pong @4 :UInt64;
+    join :group {
+      controller @5 :Member;
+      renewers @6 :RenewerSet;
+    }
+    joinedEpoch :group {
+      stampAges @7 :List(StampAge);
+      provisional @8 :List(ProvisionalMove);
+    }
+    stopRenewing @9 :ServerSequence;
+    stoppedRenewing @10 :ServerSequence;
+    resumeRenewing @11 :ServerSequence;
+    agree :group {
+      sequence @12 :UInt64;
+      moves @13 :List(ProvisionalMove);
+    }
+    agreed @14 :UInt64;
+    handOver @15 :Void;
+  }
+}
+
+struct ForwardRequest {
+  requestId @0 :Text;
+  service @1 :Text;
+  key @2 :Text;
+  server @3 :Text;
+  method @4 :Text;
+  body @5 :Data;
+  contentType @6 :Text;
+  idempotencyKey @7 :Text;
+  traceparent @8 :Text;
+  remainingMicros @9 :UInt64;
+  idempotent @10 :Bool;
+}
+
+enum Outcome {
+  ran @0;
+  notRun @1;
+  unknown @2;
+}
+
+struct ForwardReply {
+  requestId @0 :Text;
+  outcome @1 :Outcome;
+  code @2 :UInt32;
+  status @3 :UInt32;
+  body @4 :Data;
+  contentType @5 :Text;
+  message @6 :Text;
+}
+
+struct DomainVersion {
+  domain @0 :Text;
+  epoch @1 :UInt64;
+  version @2 :UInt64;
+}
+
+struct ServiceVersion {
+  service @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Digest {
+  instance @0 :Text;
+  domain @1 :Text;
+  ticket @2 :UInt64;
+  domains @3 :List(DomainVersion);
+  homes @4 :List(ServiceVersion);
+}
+
+struct News {
+  # Documents newer than the digest's, as JSON text; empty if there is none.
+  ticket @0 :UInt64;
+  configuration @1 :Text;
+  records @2 :List(Text);
+  homes @3 :List(Text);
+}
+
+interface Peer {
+  control @0 (message :ControlMessage) -> ();
+  forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
+  exchange @2 (digest :Digest) -> (news :News);
+  announce @3 (news :News) -> ();
+}
--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Checks that all sources are formatted; with --fix, formats them.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/sources.sh
+if [ "${1:-}" = --fix ]; then
+    sources | xargs clang-format -i
+    exit
+fi
+sources | xargs clang-format --dry-run -Werror && echo "format: clean"
--- /dev/null
+++ b/scripts/sources.sh
@@ -0,0 +1,5 @@
+# Lists the C++ files of the project; to be sourced.
+sources()
+{
+    git ls-files -co --exclude-standard '*.cpp' '*.hpp'
+}
--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -47,7 +47,7 @@
     resolvePendingWrite();
     if (m_role == AgentRole::joining || isController()) {
         continueJoining();
-        if (m_proposal.size() && m_storeDown)
+        if (!m_proposal.empty() && m_storeDown)
             requestAgreement();
     }
     tendServers();
@@ -55,8 +55,10 @@
 
 void Agent::on(const DomainPlan& event)
 {
-    if (m_items == event.items && m_servers == event.servers)
+    bool isSame = m_items == event.items && m_servers == event.servers && m_confirmedEpoch == event.confirmedEpoch;
+    if (isSame)
         return;
+    m_confirmedEpoch = event.confirmedEpoch;
     m_items = event.items;
     m_servers = event.servers;
     for (const auto& it : m_servers) {
--- a/src/core/agent_reconcile.cpp
+++ b/src/core/agent_reconcile.cpp
@@ -89,6 +89,10 @@
         bool isSame = owner != m_working.items.end() && owner->second.server == it.second;
         if (!isUp(it.second))
             continue;
+        // An earlier controller may be giving the item to another domain until this epoch is in the home map.
+        bool isNew = owner == m_working.items.end();
+        if (isNew && m_confirmedEpoch.value_or(m_set.epoch) != m_set.epoch)
+            continue;
         bool needsFence = isSame && m_books.at(it.second).revoked.contains(it.first);
         if ((isSame && !needsFence) || isHeldElsewhere(it.first, it.second))
             continue;
--- /dev/null
+++ b/src/core/home_map.cpp
@@ -0,0 +1,81 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace acaciagauge {
+
+namespace {
+
+    std::uint16_t indexOf(std::vector<DomainId>& domains, const DomainId& domain)
+    {
+        auto it = std::find(domains.begin(), domains.end(), domain);
+        if (it == domains.end())
+            it = domains.insert(domains.end(), domain);
+        return static_cast<std::uint16_t>(it - domains.begin());
+    }
+
+    std::vector<ServerInfo> domainsAsBins(const ServiceSpec& service, const std::set<DomainId>& lostDomains)
+    {
+        std::map<DomainId, double> capacities;
+        for (const auto& it : service.servers) {
+            if (!it.leaving && !lostDomains.contains(it.domain))
+                capacities[it.domain] += it.slots;
+        }
+        std::vector<ServerInfo> bins;
+    bins.reserve(capacities.size());
+        for (const auto& it : capacities)
+            bins.push_back({ it.first, service.name, it.second, true, false });
+        return bins;
+    }
+
+} // namespace
+
+HomeMap planHomes(const ServiceSpec& service, const HomeMap* current, const std::set<DomainId>& lostDomains)
+{
+    PlanInput input;
+    input.servers = domainsAsBins(service, lostDomains);
+    for (std::uint32_t n = 0; n < service.partitions; ++n) {
+        Item item { service.name, n, "" };
+        input.items.insert(item);
+        if (current)
+            input.owners[item] = current->homeOf(n);
+    }
+    HomeMap wished;
+    wished.service = service.name;
+    if (current)
+        wished = *current;
+    if (input.servers.empty())
+        return wished;
+    wished.homes.assign(service.partitions, 0);
+    for (const auto& it : planIncremental(input, 0.0))
+        wished.homes[it.first.partition] = indexOf(wished.domains, it.second);
+    return wished;
+}
+
+nlohmann::json toJson(const HomeMap& map)
+{
+    return { { "service", map.service }, { "version", map.version }, { "domains", map.domains }, { "homes", map.homes },
+        { "epochs", map.epochs } };
+}
+
+Result<HomeMap> homeMapFromJson(const nlohmann::json& document)
+{
+    try {
+        HomeMap map;
+        map.service = document.at("service").get<ServiceName>();
+        map.version = document.at("version").get<std::uint64_t>();
+        map.domains = document.at("domains").get<std::vector<DomainId>>();
+        map.homes = document.at("homes").get<std::vector<std::uint16_t>>();
+        map.epochs = document.at("epochs").get<std::map<DomainId, Epoch>>();
+        for (auto it : map.homes) {
+            if (it >= map.domains.size())
+                return failure(ResultCode::malformedRequest, "home index " + std::to_string(it) + " names no domain");
+        }
+        return map;
+    } catch (const nlohmann::json::exception& error) {
+        return failure(ResultCode::malformedRequest, error.what());
+    }
+}
+
+} // namespace acaciagauge
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -143,6 +143,7 @@
         }
         for (const auto* item : plan.items) {
             std::vector<std::pair<double, const ServerInfo*>> order;
+            order.reserve(servers.size());
             for (const auto* it : servers)
                 order.emplace_back(rendezvousScore(*item, *it), it);
             std::sort(order.rbegin(), order.rend());
--- /dev/null
+++ b/src/core/retry.cpp
@@ -0,0 +1,55 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+
+namespace acaciagauge {
+
+namespace {
+
+    constexpr Duration firstWait = std::chrono::milliseconds(2);
+    constexpr Duration longestWait = std::chrono::milliseconds(50);
+    constexpr unsigned maxDoublings = 6;
+
+    /// Returns true if another place or moment may give another result.
+    bool isPassing(ResultCode code)
+    {
+        switch (code) {
+        case ResultCode::noOwner:
+        case ResultCode::ownerUnreachable:
+        case ResultCode::notHeld:
+        case ResultCode::staleFence:
+        case ResultCode::peerUnreachable:
+        case ResultCode::instanceLeaving:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+} // namespace
+
+void RetryBudget::request()
+{
+    m_tokens = std::min(m_tokens + m_options.share, m_options.burst);
+}
+
+bool RetryBudget::take()
+{
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+std::optional<Duration> nextTry(const Attempt& attempt, RetryBudget& budget)
+{
+    auto wait = std::min(firstWait * (1U << std::min(attempt.number - 1, maxDoublings)), longestWait);
+    if (attempt.outcome == Outcome::ran || wait >= attempt.remaining)
+        return std::nullopt;
+    if (attempt.outcome == Outcome::notRun)
+        return isPassing(attempt.code) ? std::optional(wait) : std::nullopt;
+    bool mayRepeat = attempt.idempotent && budget.take();
+    return mayRepeat ? std::optional(wait) : std::nullopt;
+}
+
+} // namespace acaciagauge
--- /dev/null
+++ b/src/core/server_queue.cpp
@@ -0,0 +1,93 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciagauge {
+
+namespace {
+
+    constexpr double averageWeight = 0.05;
+    constexpr double shedDecrease = 0.7;
+    constexpr double shedIncrease = 0.02;
+    constexpr double minShedFactor = 0.1;
+
+} // namespace
+
+ServerQueue::ServerQueue(Options options, TimePoint now)
+    : m_options(options)
+    , m_coldSince(now)
+{
+}
+
+ServerQueue ServerQueue::create(Options options, TimePoint now)
+{
+    return ServerQueue(options, now);
+}
+
+std::uint32_t ServerQueue::concurrency(TimePoint now) const
+{
+    auto full = static_cast<double>(m_options.slots) * m_options.overcommit;
+    auto warmth = 1.0;
+    if (m_options.coldStart > Duration::zero() && now < m_coldSince + m_options.coldStart)
+        warmth = static_cast<double>((now - m_coldSince).count()) / static_cast<double>(m_options.coldStart.count());
+    auto allowed = std::floor(full * std::max(warmth, 0.0) * m_shedFactor);
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(allowed));
+}
+
+Duration ServerQueue::expectedWait(std::size_t ahead, TimePoint now) const
+{
+    auto rounds = static_cast<double>(ahead + 1) / concurrency(now);
+    return Duration(static_cast<Duration::rep>(rounds * m_serviceMicros));
+}
+
+ServerQueue::Verdict ServerQueue::offer(std::uint64_t id, Priority priority, TimePoint deadline, TimePoint now)
+{
+    if (m_waiting.empty() && m_inFlight < concurrency(now)) {
+        ++m_inFlight;
+        return Verdict::start;
+    }
+    bool isFull = m_waiting.size() >= m_options.maxWaiting;
+    auto ahead = m_waiting.size();
+    if (priority == Priority::change) {
+        auto firstView = m_waiting.lower_bound({ Priority::view, 0 });
+        ahead = static_cast<std::size_t>(std::distance(m_waiting.begin(), firstView));
+    }
+    if (isFull || now + expectedWait(ahead, now) > deadline)
+        return Verdict::refuse;
+    m_waiting[{ priority, ++m_arrivals }] = { id, deadline };
+    return Verdict::wait;
+}
+
+void ServerQueue::finished(Duration serviceTime, bool shed, TimePoint now)
+{
+    static_cast<void>(now);
+    if (m_inFlight > 0)
+        --m_inFlight;
+    if (shed) {
+        m_shedFactor = std::max(m_shedFactor * shedDecrease, minShedFactor);
+        return;
+    }
+    m_shedFactor = std::min(m_shedFactor + shedIncrease, 1.0);
+    auto micros = static_cast<double>(serviceTime.count());
+    m_serviceMicros = m_serviceMicros == 0 ? micros : m_serviceMicros * (1 - averageWeight) + micros * averageWeight;
+}
+
+std::vector<ServerQueue::Left> ServerQueue::next(TimePoint now)
+{
+    std::vector<Left> left;
+    for (auto it = m_waiting.begin(); it != m_waiting.end() && m_inFlight < concurrency(now);) {
+        bool isLate = now >= it->second.deadline;
+        left.push_back({ it->second.id, isLate ? ResultCode::deadlineExceeded : ResultCode::ok });
+        m_inFlight += !isLate;
+        it = m_waiting.erase(it);
+    }
+    return left;
+}
+
+bool ServerQueue::withdraw(std::uint64_t id)
+{
+    return std::erase_if(m_waiting, [id](const auto& it) { return it.second.id == id; }) > 0;
+}
+
+} // namespace acaciagauge
--- a/src/core/ticket.cpp
+++ b/src/core/ticket.cpp
@@ -240,6 +240,10 @@
             return failure(ResultCode::malformedTicket,
                 "service \"" + it.first + "\" has " + std::to_string(existing->second.partitions)
                     + " partitions, which no ticket may change");
+        bool changesHotKeys = existing != current.services.end() && existing->second.hotKeys != it.second.hotKeys;
+        if (changesHotKeys)
+            return failure(ResultCode::malformedTicket,
+                "the hot keys of service \"" + it.first + "\" can be named only by the ticket that creates it");
         next.services[it.first] = it.second;
         next.serviceTickets[it.first] = ticket.number;
     }
--- /dev/null
+++ b/src/daemon/metrics.cpp
@@ -0,0 +1,88 @@
+#include "daemon/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace acaciagauge::daemon {
+
+namespace {
+
+    const prometheus::Histogram::BucketBoundaries latencyBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+        0.2, 0.5, 1, 2, 5 };
+
+    prometheus::Gauge& gauge(prometheus::Registry& registry, const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+    }
+
+    prometheus::Family<prometheus::Gauge>& gauges(
+        prometheus::Registry& registry, const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+    }
+
+    prometheus::Counter& counter(prometheus::Registry& registry, const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+    }
+
+} // namespace
+
+Metrics::Metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+{
+    auto& registry = *m_registry;
+    auto& requests = prometheus::BuildCounter()
+                         .Name("acaciagauge_requests_total")
+                         .Help("Callers' requests by outcome")
+                         .Register(registry);
+    m_requests[Outcome::ran] = &requests.Add({ { "outcome", "ran" } });
+    m_requests[Outcome::notRun] = &requests.Add({ { "outcome", "notRun" } });
+    m_requests[Outcome::unknown] = &requests.Add({ { "outcome", "unknown" } });
+    m_seconds = &prometheus::BuildHistogram()
+                     .Name("acaciagauge_request_seconds")
+                     .Help("Time from a caller's request to its answer")
+                     .Register(registry)
+                     .Add({}, latencyBuckets);
+    m_retries = &counter(registry, "acaciagauge_retries_total", "Further tries of requests");
+    m_waiting = &gauges(registry, "acaciagauge_queue_waiting", "Requests that wait for a server");
+    m_inFlight = &gauges(registry, "acaciagauge_queue_in_flight", "Requests that a server works on");
+    m_servers = &gauges(registry, "acaciagauge_servers", "Servers of the domain by state, as its controller sees them");
+    m_ticket = &gauge(registry, "acaciagauge_ticket_in_force", "Number of the ticket in force");
+    m_epoch = &gauge(registry, "acaciagauge_epoch", "Epoch of the domain's controller");
+    m_isController = &gauge(registry, "acaciagauge_is_controller", "1 if this instance is its domain's controller");
+    m_storeAvailable = &gauge(registry, "acaciagauge_store_available", "1 if the platform's store answered last time");
+    m_ownerChanges = &counter(registry, "acaciagauge_owner_changes_total", "Items that changed owner in this domain");
+    m_imbalance = &gauge(registry, "acaciagauge_imbalance", "Items per slot of the fullest server over the mean");
+}
+
+std::unique_ptr<Metrics> Metrics::create()
+{
+    return std::unique_ptr<Metrics>(new Metrics());
+}
+
+void Metrics::request(Outcome outcome, Duration duration)
+{
+    m_requests.at(outcome)->Increment();
+    m_seconds->Observe(std::chrono::duration<double>(duration).count());
+}
+
+void Metrics::queue(const ServerId& server, std::size_t waiting, std::size_t inFlight)
+{
+    auto& gaugePair = m_queues[server];
+    if (!gaugePair.first)
+        gaugePair = { &m_waiting->Add({ { "server", server } }), &m_inFlight->Add({ { "server", server } }) };
+    gaugePair.first->Set(static_cast<double>(waiting));
+    gaugePair.second->Set(static_cast<double>(inFlight));
+}
+
+void Metrics::setServers(const std::string& state, std::size_t n)
+{
+    m_servers->Add({ { "state", state } }).Set(static_cast<double>(n));
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/daemon/metrics.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace acaciagauge::daemon {
+
+/// @brief The daemon's metrics, served as Prometheus text.
+class Metrics {
+public:
+    static std::unique_ptr<Metrics> create();
+
+    /// @brief Counts a caller's request.
+    void request(Outcome outcome, Duration duration);
+
+    /// @brief Counts a further try of a request.
+    void retry() { m_retries->Increment(); }
+
+    /// @brief Sets what is waiting and in flight at the egress for a server.
+    void queue(const ServerId& server, std::size_t waiting, std::size_t inFlight);
+
+    void setTicket(TicketNumber number) { m_ticket->Set(static_cast<double>(number)); }
+    void setEpoch(Epoch epoch) { m_epoch->Set(static_cast<double>(epoch)); }
+    void setIsController(bool is) { m_isController->Set(is ? 1 : 0); }
+    void setStoreAvailable(bool is) { m_storeAvailable->Set(is ? 1 : 0); }
+    void setServers(const std::string& state, std::size_t n);
+
+    /// @brief Counts items that changed owner in this domain.
+    void ownerChanges(std::size_t n) { m_ownerChanges->Increment(static_cast<double>(n)); }
+
+    /// @brief Sets the most loaded server's items over the mean.
+    void setImbalance(double ratio) { m_imbalance->Set(ratio); }
+
+    /// @brief Returns all metrics in the text format.
+    [[nodiscard]] std::string text() const;
+
+private:
+    Metrics();
+
+    std::shared_ptr<prometheus::Registry> m_registry;
+    std::map<Outcome, prometheus::Counter*> m_requests;
+    prometheus::Histogram* m_seconds;
+    prometheus::Counter* m_retries;
+    prometheus::Family<prometheus::Gauge>* m_waiting;
+    prometheus::Family<prometheus::Gauge>* m_inFlight;
+    prometheus::Family<prometheus::Gauge>* m_servers;
+    prometheus::Gauge* m_ticket;
+    prometheus::Gauge* m_epoch;
+    prometheus::Gauge* m_isController;
+    prometheus::Gauge* m_storeAvailable;
+    prometheus::Counter* m_ownerChanges;
+    prometheus::Gauge* m_imbalance;
+    std::map<ServerId, std::pair<prometheus::Gauge*, prometheus::Gauge*>> m_queues;
+};
+
+} // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,532 @@
+#include "daemon/node.hpp"
+
+#include "daemon/admin.hpp"
+#include "daemon/async.hpp"
+#include "daemon/log.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace acaciagauge::daemon {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+    constexpr auto orderTimeout = std::chrono::milliseconds(200);
+    constexpr auto instancesInterval = std::chrono::milliseconds(500);
+    constexpr auto watchDuration = std::chrono::seconds(10);
+    constexpr auto watchRetry = std::chrono::milliseconds(200);
+    constexpr auto homesInterval = std::chrono::milliseconds(200);
+    constexpr auto leavePoll = std::chrono::milliseconds(10);
+    constexpr auto leaveLimit = std::chrono::seconds(30);
+    constexpr auto handOverLimit = std::chrono::seconds(2);
+    constexpr std::size_t watchersPerDomain = 2;
+    constexpr std::size_t announceFanOut = 4;
+    const std::string headKey = "tickets/head";
+
+    Incarnation newIncarnation()
+    {
+        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+    }
+
+    std::string recordKey(const DomainId& domain)
+    {
+        return "domains/" + domain;
+    }
+
+    std::string homeKey(const ServiceName& service)
+    {
+        return "homes/" + service;
+    }
+
+    std::string_view nameOf(AgentRole role)
+    {
+        return role == AgentRole::controller ? "controller" : role == AgentRole::joining ? "joining" : "follower";
+    }
+
+} // namespace
+
+Node::Node(asio::io_context& context, Settings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_incarnation(newIncarnation())
+    , m_metrics(Metrics::create())
+    , m_tracer(Tracer::create(m_settings.instance, m_settings.tracePercent))
+    , m_directory(Directory::create({ m_settings.instance, m_settings.domain, m_settings.callersAddress,
+          m_settings.adminAddress, m_settings.rpcAddress, false }))
+    , m_store(context, m_settings.platformAddress)
+    , m_orders(net::HttpClient::create(context, { 4, net::maxAdminBodyBytes }))
+    , m_routes(RouteTable::create(m_knowledge))
+    , m_egress(context, m_settings, *m_metrics, m_tracer, { [this] { return m_routes; } })
+    , m_ingress(context, m_settings, m_directory, m_egress, *m_metrics, m_tracer,
+          { [this] { return m_routes; }, [this]() -> RpcNode& { return *m_rpc; } })
+    , m_random(std::random_device {}())
+{
+}
+
+Result<std::unique_ptr<Node>> Node::create(asio::io_context& context, Settings settings)
+{
+    std::unique_ptr<Node> node(new Node(context, std::move(settings)));
+    auto started = node->start();
+    if (!started)
+        return tl::make_unexpected(started.error());
+    return node;
+}
+
+Result<bool> Node::start()
+{
+    net::HttpServer::Options callers;
+    callers.address = m_settings.callersAddress;
+    callers.maxConnections = m_settings.maxConnections;
+    callers.handler = [this](net::Request request) { return m_ingress.handle(std::move(request)); };
+    auto callersServer = net::HttpServer::create(m_context, std::move(callers));
+    if (!callersServer)
+        return tl::make_unexpected(callersServer.error());
+    m_callers = *callersServer;
+    net::HttpServer::Options admin;
+    admin.address = m_settings.adminAddress;
+    admin.bodyLimit = net::maxAdminBodyBytes;
+    auto api = std::make_shared<Admin>(m_context, *this);
+    admin.handler = [api](net::Request request) { return api->handle(std::move(request)); };
+    auto adminServer = net::HttpServer::create(m_context, std::move(admin));
+    if (!adminServer)
+        return tl::make_unexpected(adminServer.error());
+    m_admin = *adminServer;
+    if (auto rpc = startRpc(); !rpc)
+        return rpc;
+    if (auto agent = startAgent(); !agent)
+        return agent;
+    m_callers->start();
+    m_admin->start();
+    asio::co_spawn(m_context, pollInstances(), asio::detached);
+    asio::co_spawn(m_context, watchTickets(), asio::detached);
+    asio::co_spawn(m_context, exchangeDigests(), asio::detached);
+    asio::co_spawn(m_context, tendHomes(), asio::detached);
+    logEvent(LogLevel::info, LogEvent::started,
+        { { "domain", m_settings.domain }, { "callers", m_settings.callersAddress } });
+    return true;
+}
+
+Result<bool> Node::startRpc()
+{
+    RpcNode::Hooks hooks;
+    hooks.onControl = [this](PeerMessage message) {
+        asio::post(m_context, [this, message = std::move(message)] {
+            m_peerRuns[message.from.id] = message.from.incarnation;
+            m_actor->tell(PeerReceived { message });
+        });
+    };
+    hooks.onForward = [this](ForwardRequest request, std::function<void(ForwardReply)> done) {
+        auto run = [](Egress& egress, ForwardRequest work, std::function<void(ForwardReply)> reply) -> awaitable<void> {
+            reply(co_await egress.run(std::move(work)));
+        };
+        asio::post(m_context, [this, run, request = std::move(request), done]() mutable {
+            asio::co_spawn(m_context, run(m_egress, std::move(request), done), asio::detached);
+        });
+    };
+    hooks.onExchange = [this](Digest digest, std::function<void(News)> done) {
+        asio::post(m_context, [this, digest = std::move(digest), done] { done(m_knowledge.newsFor(digest)); });
+    };
+    hooks.onAnnounce = [this](News news) { asio::post(m_context, [this, news = std::move(news)] { adopt(news); }); };
+    auto rpc = RpcNode::create(m_settings.rpcAddress, std::move(hooks));
+    if (!rpc)
+        return tl::make_unexpected(rpc.error());
+    m_rpc = std::move(*rpc);
+    return true;
+}
+
+Result<bool> Node::startAgent()
+{
+    Agent::Options options;
+    options.self = { m_settings.instance, m_incarnation };
+    options.domain = m_settings.domain;
+    options.timing = m_settings.ownership;
+    options.planner = [](const PlanInput& input) { return planIncremental(input, 0.0); };
+    auto hook = [this](std::vector<Action> actions, AgentView view) {
+        asio::post(m_context, [this, actions = std::move(actions), view = std::move(view)]() mutable {
+            for (const auto& it : actions)
+                perform(it);
+            noteView(std::move(view));
+        });
+    };
+    auto actor = DomainActor::create(std::move(options), std::move(hook));
+    if (!actor)
+        return tl::make_unexpected(actor.error());
+    m_actor = std::move(*actor);
+    return true;
+}
+
+void Node::perform(const Action& action)
+{
+    if (const auto* peer = std::get_if<SendPeer>(&action))
+        sendPeer(*peer);
+    else if (const auto* server = std::get_if<SendServer>(&action))
+        asio::co_spawn(m_context, sendServer(*server), asio::detached);
+    else if (const auto* read = std::get_if<ReadRecord>(&action))
+        asio::co_spawn(m_context, readRecord(*read), asio::detached);
+    else if (const auto* write = std::get_if<WriteRecord>(&action))
+        asio::co_spawn(m_context, writeRecord(*write), asio::detached);
+    else
+        publish(std::get<Publish>(action));
+}
+
+void Node::sendPeer(const SendPeer& action)
+{
+    const auto* info = m_directory.find(action.to);
+    if (!info)
+        return;
+    auto run = m_peerRuns.find(action.to);
+    Member peer { action.to, run == m_peerRuns.end() ? 0 : run->second };
+    m_rpc->control(info->rpcAddress, action.message, [this, peer](RpcReach reach) {
+        bool isDead = reach == RpcReach::refused && peer.incarnation != 0;
+        if (isDead)
+            m_actor->tell(PeerDied { peer });
+    });
+}
+
+awaitable<void> Node::sendServer(SendServer action)
+{
+    const auto* spec = m_routes->server(action.server);
+    if (!spec)
+        co_return;
+    auto request = net::makeRequest(net::http::verb::post, "/orders", net::encodeOrder(action.order));
+    auto exchange = co_await m_orders->exchange(spec->address, std::move(request), orderTimeout);
+    if (exchange.state == net::ExchangeState::refused)
+        m_actor->tell(ServerDied { action.server, action.sequence });
+    if (exchange.state != net::ExchangeState::answered || exchange.response.result_int() != 200)
+        co_return;
+    auto answer = net::decodeAnswer(exchange.response.body());
+    if (answer)
+        m_actor->tell(ServerAnswered { action.server, action.sequence, std::move(*answer) });
+}
+
+awaitable<void> Node::readRecord(ReadRecord action)
+{
+    auto stored = co_await m_store.read(recordKey(m_settings.domain));
+    StoreAnswered event { action.sequence, stored.outcome, stored.revision, std::nullopt };
+    if (stored.outcome == StoreOutcome::ok && stored.revision > 0) {
+        auto record = domainRecordFromJson(nlohmann::json::parse(stored.value, nullptr, false));
+        if (record)
+            event.record = std::move(*record);
+        else
+            event.outcome = StoreOutcome::unavailable;
+    }
+    m_actor->tell(std::move(event));
+}
+
+awaitable<void> Node::writeRecord(WriteRecord action)
+{
+    auto text = toJson(action.record).dump();
+    auto stored = co_await m_store.write(recordKey(m_settings.domain), action.expectedRevision, std::move(text));
+    m_actor->tell(StoreAnswered { action.sequence, stored.outcome, stored.revision, std::nullopt });
+}
+
+void Node::publish(const Publish& action)
+{
+    auto known = m_knowledge.records().find(action.record.domain);
+    std::size_t changes = 0;
+    for (const auto& it : action.record.items) {
+        if (known == m_knowledge.records().end())
+            break;
+        auto before = known->second.items.find(it.first);
+        changes += before != known->second.items.end() && before->second.server != it.second.server;
+    }
+    m_metrics->ownerChanges(changes);
+    logEvent(LogLevel::info, LogEvent::recordPublished,
+        { { "epoch", std::to_string(action.record.epoch()) }, { "version", std::to_string(action.record.version) },
+            { "committed", action.committed ? "true" : "false" }, { "changes", std::to_string(changes) } });
+    News news;
+    news.records.push_back(action.record);
+    adopt(news);
+}
+
+void Node::noteView(AgentView view)
+{
+    if (view.role != m_view.role || view.epoch != m_view.epoch)
+        logEvent(LogLevel::info, LogEvent::roleChanged,
+            { { "role", std::string(nameOf(view.role)) }, { "epoch", std::to_string(view.epoch) } });
+    if (view.serverStates != m_view.serverStates && view.role == AgentRole::controller) {
+        std::string states;
+        for (const auto& it : view.serverStates) {
+            states += it.first + "=" + std::to_string(it.second) + " ";
+            m_metrics->setServers(it.first, it.second);
+        }
+        logEvent(LogLevel::info, LogEvent::serverStatesChanged, { { "servers", states } });
+    }
+    bool isNewEpoch = view.epoch != m_view.epoch;
+    m_view = std::move(view);
+    if (isNewEpoch)
+        tellPlan();
+    m_metrics->setEpoch(m_view.epoch);
+    m_metrics->setIsController(m_view.role == AgentRole::controller);
+    m_metrics->setStoreAvailable(m_store.isAvailable());
+}
+
+void Node::adopt(const News& news)
+{
+    auto taken = m_knowledge.adopt(news);
+    if (taken.isEmpty())
+        return;
+    // A newer map settles what became of an unanswered write of the former one.
+    for (const auto& it : taken.homes)
+        m_giving.erase(it.service);
+    m_routes = RouteTable::create(m_knowledge);
+    if (taken.configuration) {
+        m_metrics->setTicket(taken.configuration->number);
+        logEvent(
+            LogLevel::info, LogEvent::ticketInForce, { { "ticket", std::to_string(taken.configuration->number) } });
+    }
+    if (taken.configuration || !taken.homes.empty())
+        tellPlan();
+    updateImbalance();
+    announce(taken);
+}
+
+void Node::updateImbalance()
+{
+    std::map<ServiceName, std::map<ServerId, double>> loads;
+    for (const auto& it : m_routes->servers()) {
+        if (it.second.domain == m_settings.domain && !it.second.leaving)
+            loads[it.first.substr(0, it.first.find('/'))][it.first] = 0;
+    }
+    auto record = m_knowledge.records().find(m_settings.domain);
+    if (record == m_knowledge.records().end())
+        return;
+    for (const auto& it : record->second.items) {
+        const auto* spec = m_routes->server(it.second.server);
+        if (spec)
+            loads[it.first.service][it.second.server] += 1.0 / spec->slots;
+    }
+    double worst = 0;
+    for (const auto& service : loads) {
+        double sum = 0;
+        double most = 0;
+        for (const auto& it : service.second) {
+            sum += it.second;
+            most = std::max(most, it.second);
+        }
+        if (sum > 0)
+            worst = std::max(worst, most * static_cast<double>(service.second.size()) / sum);
+    }
+    m_metrics->setImbalance(worst);
+}
+
+std::vector<InstanceInfo> Node::randomPeers(std::size_t n)
+{
+    std::vector<InstanceInfo> peers;
+    for (const auto& it : m_directory.instances()) {
+        if (it.first != m_settings.instance)
+            peers.push_back(it.second);
+    }
+    std::shuffle(peers.begin(), peers.end(), m_random);
+    peers.resize(std::min(peers.size(), n));
+    return peers;
+}
+
+void Node::announce(const News& news)
+{
+    for (const auto& it : randomPeers(announceFanOut))
+        m_rpc->announce(it.rpcAddress, news);
+}
+
+bool Node::isWatcher() const
+{
+    auto order = rendezvousOrder("watch/" + m_settings.domain, m_directory.liveInDomain(m_settings.domain));
+    order.resize(std::min(order.size(), watchersPerDomain));
+    return std::find(order.begin(), order.end(), m_settings.instance) != order.end();
+}
+
+awaitable<void> Node::pollInstances()
+{
+    while (true) {
+        auto list = co_await m_store.instances();
+        if (!list.empty())
+            m_directory.update(list);
+        m_actor->tell(InstancesListed { m_directory.liveInDomain(m_settings.domain) });
+        co_await sleepFor(m_context, instancesInterval);
+    }
+}
+
+awaitable<void> Node::watchTickets()
+{
+    while (true) {
+        if (!isWatcher()) {
+            co_await sleepFor(m_context, watchRetry);
+            continue;
+        }
+        auto stored = co_await m_store.watch(headKey, m_headRevision, watchDuration);
+        if (stored.outcome != StoreOutcome::ok || stored.revision <= m_headRevision) {
+            co_await sleepFor(m_context, watchRetry);
+            continue;
+        }
+        m_headRevision = stored.revision;
+        auto document = nlohmann::json::parse(stored.value, nullptr, false);
+        if (!document.is_object() || !document.contains("configuration"))
+            continue;
+        News news;
+        if (auto configuration = configurationFromJson(document.at("configuration")))
+            news.configuration = std::move(*configuration);
+        adopt(news);
+    }
+}
+
+awaitable<void> Node::exchangeDigests()
+{
+    while (true) {
+        co_await sleepFor(m_context, m_settings.gossipInterval);
+        for (const auto& it : randomPeers(1)) {
+            m_rpc->exchange(it.rpcAddress, m_knowledge.digest(),
+                [this](News news) { asio::post(m_context, [this, news = std::move(news)] { adopt(news); }); });
+        }
+    }
+}
+
+void Node::tellPlan()
+{
+    DomainPlan plan;
+    const auto& configuration = m_knowledge.configuration();
+    std::set<DomainId> lost;
+    for (const auto& it : configuration.domains) {
+        if (it.second.lost)
+            lost.insert(it.first);
+    }
+    plan.confirmedEpoch = 0;
+    bool areAllConfirmed = true;
+    for (const auto& it : configuration.services) {
+        auto home = m_knowledge.homes().find(it.first);
+        if (home == m_knowledge.homes().end())
+            continue;
+        areAllConfirmed = areAllConfirmed && confirmedEpoch(home->second) == m_view.epoch;
+        const auto& giving = m_giving[it.first];
+        auto wished = planHomes(it.second, &home->second, lost);
+        auto isOurs = [&](std::uint32_t n) {
+            bool stays = home->second.homeOf(n) == m_settings.domain && wished.homeOf(n) == m_settings.domain;
+            return stays && !giving.contains(n);
+        };
+        for (std::uint32_t n = 0; n < it.second.partitions; ++n) {
+            if (isOurs(n))
+                plan.items.insert({ it.first, n, "" });
+        }
+        for (const auto& key : it.second.hotKeys) {
+            auto n = partitionOf(it.first, key, it.second.partitions);
+            if (isOurs(n))
+                plan.items.insert({ it.first, n, key });
+        }
+        for (const auto& server : it.second.servers) {
+            if (server.domain == m_settings.domain)
+                plan.servers.push_back({ serverIdOf(it.first, server.id), it.first, static_cast<double>(server.slots),
+                    server.checksFences, server.leaving });
+        }
+    }
+    if (areAllConfirmed)
+        plan.confirmedEpoch = m_view.epoch;
+    m_actor->tell(std::move(plan));
+}
+
+Epoch Node::confirmedEpoch(const HomeMap& map) const
+{
+    auto it = map.epochs.find(m_settings.domain);
+    return it == map.epochs.end() ? 0 : it->second;
+}
+
+awaitable<void> Node::tendHomes()
+{
+    while (true) {
+        co_await sleepFor(m_context, homesInterval);
+        if (m_view.role != AgentRole::controller || m_leaving)
+            continue;
+        auto services = m_knowledge.configuration().services;
+        for (const auto& it : services)
+            co_await tendHome(it.second);
+    }
+}
+
+// A domain gives a partition away only once its own record no longer lists it; the home map is replaced by
+// compare-and-swap, so a partition has one home at any moment. Each new controller writes its epoch into the map
+// before it takes or gives anything, which makes the late writes of its predecessors fail.
+awaitable<void> Node::tendHome(ServiceSpec service)
+{
+    auto known = m_knowledge.homes().find(service.name);
+    std::set<DomainId> lost;
+    for (const auto& it : m_knowledge.configuration().domains) {
+        if (it.second.lost)
+            lost.insert(it.first);
+    }
+    bool isKnown = known != m_knowledge.homes().end();
+    auto wished = planHomes(service, isKnown ? &known->second : nullptr, lost);
+    if (wished.domains.empty())
+        co_return;
+    auto epoch = m_view.epoch;
+    std::set<std::uint32_t> given;
+    bool isConfirmed = isKnown && confirmedEpoch(known->second) == epoch;
+    if (isKnown && confirmedEpoch(known->second) > epoch)
+        co_return;
+    if (isKnown && !isConfirmed)
+        wished = known->second;
+    if (isConfirmed) {
+        auto next = known->second;
+        next.domains = wished.domains;
+        auto record = m_knowledge.records().find(m_settings.domain);
+        for (std::uint32_t n = 0; n < service.partitions; ++n) {
+            bool gives = known->second.homeOf(n) == m_settings.domain && wished.homeOf(n) != m_settings.domain;
+            bool holds
+                = record == m_knowledge.records().end() || record->second.items.contains({ service.name, n, "" });
+            if (gives && !holds && m_view.committed) {
+                next.homes[n] = wished.homes[n];
+                given.insert(n);
+            }
+        }
+        if (next.homes == known->second.homes)
+            co_return;
+        wished = std::move(next);
+    }
+    auto stored = co_await m_store.read(homeKey(service.name));
+    if (stored.outcome != StoreOutcome::ok)
+        co_return;
+    News news;
+    if (stored.revision > 0) {
+        auto present = homeMapFromJson(nlohmann::json::parse(stored.value, nullptr, false));
+        bool isCurrent = present && isKnown && present->version == wished.version;
+        if (present && !isCurrent)
+            news.homes.push_back(*present);
+        if (!isCurrent) {
+            adopt(news);
+            co_return;
+        }
+    }
+    ++wished.version;
+    wished.epochs[m_settings.domain] = epoch;
+    m_giving[service.name].insert(given.begin(), given.end());
+    auto written = co_await m_store.write(homeKey(service.name), stored.revision, toJson(wished).dump());
+    if (written.outcome != StoreOutcome::ok)
+        co_return;
+    logEvent(LogLevel::info, LogEvent::homesChanged,
+        { { "service", service.name }, { "version", std::to_string(wished.version) } });
+    news.homes.push_back(wished);
+    adopt(news);
+}
+
+awaitable<std::size_t> Node::leave()
+{
+    m_leaving = true;
+    logEvent(LogLevel::info, LogEvent::leaving, { { "inFlight", std::to_string(inFlight()) } });
+    m_actor->tell(Leave {});
+    m_callers->drain();
+    co_await sleepFor(m_context, m_settings.leaveGrace);
+    m_callers->stop();
+    auto handOverEnd = monotonicNow() + handOverLimit;
+    while (m_view.role == AgentRole::controller && monotonicNow() < handOverEnd)
+        co_await sleepFor(m_context, leavePoll);
+    auto end = monotonicNow() + leaveLimit;
+    while (inFlight() > 0 && monotonicNow() < end)
+        co_await sleepFor(m_context, leavePoll);
+    m_egress.close();
+    co_return inFlight();
+}
+
+} // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/daemon/rpc_node.cpp
@@ -0,0 +1,355 @@
+#include "daemon/rpc_node.hpp"
+
+#include "daemon/log.hpp"
+#include "daemon/wire.hpp"
+#include "net/net.hpp"
+
+#include <atomic>
+#include <capnp/rpc-twoparty.h>
+#include <future>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <mutex>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+#include <unordered_map>
+
+namespace acaciagauge::daemon {
+
+namespace {
+
+    constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
+    constexpr auto controlTimeout = 2 * kj::SECONDS;
+    constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
+
+    std::string textOf(const kj::Exception& exception)
+    {
+        return exception.getDescription().cStr();
+    }
+
+    bool isRefusal(const kj::Exception& exception)
+    {
+        return textOf(exception).find("onnection refused") != std::string::npos;
+    }
+
+} // namespace
+
+/// The event loop's thread, its work queue and its connections.
+struct RpcNode::Loop final : private kj::TaskSet::ErrorHandler {
+    using Work = std::function<void()>;
+
+    struct Connection {
+        explicit Connection(kj::Own<kj::AsyncIoStream> io)
+            : stream(kj::mv(io))
+            , client(*stream)
+            , peer(client.bootstrap().castAs<wire::Peer>())
+        {
+        }
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient client;
+        wire::Peer::Client peer;
+        bool broken = false;
+    };
+
+    class PeerServer final : public wire::Peer::Server {
+    public:
+        explicit PeerServer(Loop& loop)
+            : m_loop(loop)
+        {
+        }
+
+        kj::Promise<void> control(ControlContext context) override
+        {
+            m_loop.hooks.onControl(fromWire(context.getParams().getMessage()));
+            return kj::READY_NOW;
+        }
+
+        kj::Promise<void> forward(ForwardContext context) override
+        {
+            auto request = fromWire(context.getParams().getRequest());
+            auto answer = m_loop.awaitFromOutside<ForwardReply>([&](std::function<void(ForwardReply)> done) {
+                m_loop.hooks.onForward(std::move(request), std::move(done));
+            });
+            return answer.then(
+                [context](ForwardReply reply) mutable { toWire(reply, context.getResults().initReply()); });
+        }
+
+        kj::Promise<void> exchange(ExchangeContext context) override
+        {
+            auto digest = fromWire(context.getParams().getDigest());
+            auto answer = m_loop.awaitFromOutside<News>(
+                [&](std::function<void(News)> done) { m_loop.hooks.onExchange(std::move(digest), std::move(done)); });
+            return answer.then([context](News news) mutable { toWire(news, context.getResults().initNews()); });
+        }
+
+        kj::Promise<void> announce(AnnounceContext context) override
+        {
+            m_loop.hooks.onAnnounce(fromWire(context.getParams().getNews()));
+            return kj::READY_NOW;
+        }
+
+    private:
+        Loop& m_loop;
+    };
+
+    /// Lets a hook complete a promise of this loop from another thread.
+    template <typename T, typename Start> kj::Promise<T> awaitFromOutside(Start start)
+    {
+        auto paf = kj::newPromiseAndFulfiller<T>();
+        auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(paf.fulfiller));
+        start([this, fulfiller](T value) {
+            auto boxed = std::make_shared<T>(std::move(value));
+            post([fulfiller, boxed] { (*fulfiller)->fulfill(std::move(*boxed)); });
+        });
+        return kj::mv(paf.promise);
+    }
+
+    void taskFailed(kj::Exception&& exception) override
+    {
+        logEvent(LogLevel::warn, LogEvent::rpcFailed, { { "message", textOf(exception) } });
+    }
+
+    void post(Work work)
+    {
+        std::lock_guard lock(mutex);
+        bool wasEmpty = queue.empty();
+        queue.push_back(std::move(work));
+        if (!wasEmpty)
+            return;
+        std::uint64_t one = 1;
+        static_cast<void>(::write(wakeFd, &one, sizeof(one)));
+    }
+
+    void drainQueue()
+    {
+        std::vector<Work> batch;
+        {
+            std::lock_guard lock(mutex);
+            batch.swap(queue);
+        }
+        for (auto& it : batch)
+            it();
+    }
+
+    kj::Promise<void> wakeLoop(kj::AsyncInputStream& wake)
+    {
+        return wake.tryRead(&wakeCount, sizeof(wakeCount), sizeof(wakeCount)).then([this, &wake](size_t) {
+            drainQueue();
+            return wakeLoop(wake);
+        });
+    }
+
+    void run(const std::string& address, std::promise<std::string> started)
+    {
+        auto io = kj::setupAsyncIo();
+        this->io = &io;
+        kj::TaskSet taskSet(*this);
+        tasks = &taskSet;
+        bool reported = false;
+        try {
+            auto wake = io.lowLevelProvider->wrapInputFd(wakeFd);
+            taskSet.add(wakeLoop(*wake));
+            auto target = io.provider->getNetwork().parseAddress(address).wait(io.waitScope);
+            auto listener = target->listen();
+            capnp::TwoPartyServer server(kj::heap<PeerServer>(*this));
+            taskSet.add(server.listen(*listener));
+            auto stop = kj::newPromiseAndFulfiller<void>();
+            stopper = kj::mv(stop.fulfiller);
+            started.set_value({});
+            reported = true;
+            stop.promise.wait(io.waitScope);
+            connections.clear();
+        } catch (const kj::Exception& exception) {
+            if (!reported)
+                started.set_value(textOf(exception));
+        }
+        connections.clear();
+        tasks = nullptr;
+    }
+
+    kj::Promise<std::shared_ptr<Connection>> connect(std::string address)
+    {
+        auto it = connections.find(address);
+        if (it != connections.end() && !it->second->broken)
+            return it->second;
+        auto parsed = io->provider->getNetwork().parseAddress(address);
+        auto connected = parsed.then([](kj::Own<kj::NetworkAddress> target) {
+            auto promise = target->connect();
+            return promise.attach(kj::mv(target));
+        });
+        auto timed = io->provider->getTimer().timeoutAfter(connectTimeout, kj::mv(connected));
+        return timed.then([this, address](kj::Own<kj::AsyncIoStream> stream) -> std::shared_ptr<Connection> {
+            auto known = connections.find(address);
+            if (known != connections.end() && !known->second->broken)
+                return known->second;
+            auto connection = std::make_shared<Connection>(kj::mv(stream));
+            connections[address] = connection;
+            std::weak_ptr<Connection> weak = connection;
+            tasks->add(connection->client.onDisconnect().then([weak] {
+                if (auto strong = weak.lock())
+                    strong->broken = true;
+            }));
+            return connection;
+        });
+    }
+
+    RpcReach reachOf(const std::string& address, const kj::Exception& exception)
+    {
+        auto reach = isRefusal(exception) ? RpcReach::refused : RpcReach::unreachable;
+        logEvent(
+            LogLevel::debug, LogEvent::peerUnreachable, { { "address", address }, { "message", textOf(exception) } });
+        return reach;
+    }
+
+    void breakConnection(const std::shared_ptr<Connection>& connection) { connection->broken = true; }
+
+    void sendControl(const std::string& address, const PeerMessage& message, std::function<void(RpcReach)> done)
+    {
+        auto sent = connect(address).then([this, message, done](std::shared_ptr<Connection> connection) {
+            auto request = connection->peer.controlRequest();
+            toWire(message, request.initMessage());
+            auto answered = io->provider->getTimer().timeoutAfter(controlTimeout, request.send().ignoreResult());
+            return answered
+                .then([done] { done(RpcReach::reached); },
+                    [this, connection, done](kj::Exception&&) {
+                        breakConnection(connection);
+                        done(RpcReach::unreachable);
+                    })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(
+            sent.catch_([this, address, done](kj::Exception&& exception) { done(reachOf(address, exception)); }));
+    }
+
+    void sendForward(
+        const std::string& address, std::shared_ptr<ForwardRequest> request, std::function<void(ForwardReply)> done)
+    {
+        auto sent = connect(address).then([this, request, done](std::shared_ptr<Connection> connection) {
+            auto call = connection->peer.forwardRequest();
+            toWire(*request, call.initRequest());
+            auto limit = request->remaining.count() * kj::MICROSECONDS + forwardSlack;
+            auto answered = io->provider->getTimer().timeoutAfter(limit, call.send());
+            return answered
+                .then(
+                    [done](
+                        capnp::Response<wire::Peer::ForwardResults>&& results) { done(fromWire(results.getReply())); },
+                    [this, connection, request, done](kj::Exception&& exception) {
+                        bool isTimeout = exception.getType() == kj::Exception::Type::OVERLOADED;
+                        if (!isTimeout)
+                            breakConnection(connection);
+                        done(replyWithout(
+                            request->requestId, Outcome::unknown, ResultCode::outcomeUnknown, textOf(exception)));
+                    })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(sent.catch_([this, address, request, done](kj::Exception&& exception) {
+            reachOf(address, exception);
+            done(replyWithout(request->requestId, Outcome::notRun, ResultCode::peerUnreachable, textOf(exception)));
+        }));
+    }
+
+    void sendExchange(const std::string& address, const Digest& digest, std::function<void(News)> done)
+    {
+        auto sent = connect(address).then([this, digest, done](std::shared_ptr<Connection> connection) {
+            auto call = connection->peer.exchangeRequest();
+            toWire(digest, call.initDigest());
+            return io->provider->getTimer()
+                .timeoutAfter(controlTimeout, call.send())
+                .then(
+                    [done](
+                        capnp::Response<wire::Peer::ExchangeResults>&& results) { done(fromWire(results.getNews())); },
+                    [this, connection](kj::Exception&&) { breakConnection(connection); })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(sent.catch_([this, address](kj::Exception&& exception) { reachOf(address, exception); }));
+    }
+
+    void sendAnnounce(const std::string& address, std::shared_ptr<News> news)
+    {
+        auto sent = connect(address).then([this, news](std::shared_ptr<Connection> connection) {
+            auto call = connection->peer.announceRequest();
+            toWire(*news, call.initNews());
+            return io->provider->getTimer()
+                .timeoutAfter(controlTimeout, call.send().ignoreResult())
+                .catch_([this, connection](kj::Exception&&) { breakConnection(connection); })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(sent.catch_([this, address](kj::Exception&& exception) { reachOf(address, exception); }));
+    }
+
+    Hooks hooks;
+    int wakeFd = -1;
+    std::uint64_t wakeCount = 0;
+    std::mutex mutex;
+    std::vector<Work> queue;
+    std::thread thread;
+    kj::AsyncIoContext* io = nullptr;
+    kj::TaskSet* tasks = nullptr;
+    kj::Own<kj::PromiseFulfiller<void>> stopper;
+    std::unordered_map<std::string, std::shared_ptr<Connection>> connections;
+};
+
+RpcNode::RpcNode()
+    : m_loop(std::make_unique<Loop>())
+{
+}
+
+Result<std::unique_ptr<RpcNode>> RpcNode::create(const std::string& address, Hooks hooks)
+{
+    auto endpoint = net::parseEndpoint(address);
+    if (!endpoint)
+        return tl::make_unexpected(endpoint.error());
+    std::unique_ptr<RpcNode> node(new RpcNode());
+    auto& loop = *node->m_loop;
+    loop.hooks = std::move(hooks);
+    loop.wakeFd = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    std::promise<std::string> started;
+    auto problem = started.get_future();
+    loop.thread = std::thread(
+        [&loop, address, promise = std::move(started)]() mutable { loop.run(address, std::move(promise)); });
+    auto message = problem.get();
+    if (!message.empty())
+        return failure(ResultCode::invalidSetting, "cannot listen on " + address + ": " + message);
+    return node;
+}
+
+RpcNode::~RpcNode()
+{
+    if (m_loop->thread.joinable()) {
+        m_loop->post([this] {
+            if (m_loop->stopper)
+                m_loop->stopper->fulfill();
+        });
+        m_loop->thread.join();
+    }
+    ::close(m_loop->wakeFd);
+}
+
+void RpcNode::control(const std::string& address, PeerMessage message, std::function<void(RpcReach)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, message = std::move(message), done] { loop.sendControl(address, message, done); });
+}
+
+void RpcNode::forward(const std::string& address, ForwardRequest request, std::function<void(ForwardReply)> done)
+{
+    auto& loop = *m_loop;
+    auto shared = std::make_shared<ForwardRequest>(std::move(request));
+    loop.post([&loop, address, shared, done] { loop.sendForward(address, shared, done); });
+}
+
+void RpcNode::exchange(const std::string& address, Digest digest, std::function<void(News)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, digest = std::move(digest), done] { loop.sendExchange(address, digest, done); });
+}
+
+void RpcNode::announce(const std::string& address, News news)
+{
+    auto& loop = *m_loop;
+    auto shared = std::make_shared<News>(std::move(news));
+    loop.post([&loop, address, shared] { loop.sendAnnounce(address, shared); });
+}
+
+} // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/daemon/rpc_node.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "daemon/rpc_types.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace acaciagauge::daemon {
+
+/// @brief Cap'n Proto RPC with the other instances, on one thread with its own event loop.
+///
+/// All methods may be called from any thread; hooks and callbacks run on the RPC thread and must not block.
+class RpcNode {
+public:
+    /// @brief What to do with calls from peers.
+    struct Hooks {
+        std::function<void(PeerMessage)> onControl;
+        std::function<void(ForwardRequest, std::function<void(ForwardReply)>)> onForward;
+        std::function<void(Digest, std::function<void(News)>)> onExchange;
+        std::function<void(News)> onAnnounce;
+    };
+
+    /// @brief Starts the thread and listens.
+    /// @param address "IP:PORT"
+    /// @return invalidSetting if the address cannot be bound
+    static Result<std::unique_ptr<RpcNode>> create(const std::string& address, Hooks hooks);
+    ~RpcNode();
+    RpcNode(const RpcNode&) = delete;
+    RpcNode& operator=(const RpcNode&) = delete;
+
+    /// @brief Sends a control message; `done` is told whether the peer was reached.
+    void control(const std::string& address, PeerMessage message, std::function<void(RpcReach)> done);
+
+    /// @brief Forwards a request. The reply says notRun if the peer was not reached, unknown if its answer was lost.
+    void forward(const std::string& address, ForwardRequest request, std::function<void(ForwardReply)> done);
+
+    /// @brief Asks a peer for what it knows beyond the digest. Not called back on failure.
+    void exchange(const std::string& address, Digest digest, std::function<void(News)> done);
+
+    /// @brief Tells a peer news.
+    void announce(const std::string& address, News news);
+
+private:
+    struct Loop;
+    RpcNode();
+    std::unique_ptr<Loop> m_loop;
+};
+
+} // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/net/http_types.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http.hpp>
+#include <string>
+
+namespace acaciagauge::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+/// @brief Largest header of a request or an answer, in bytes.
+inline constexpr std::uint32_t maxHeaderBytes = 16U * 1024;
+
+/// @brief Largest body from a caller or a server, in bytes.
+inline constexpr std::uint64_t maxBodyBytes = 1024ULL * 1024;
+
+/// @brief Largest body of an administration order or a store value, in bytes.
+inline constexpr std::uint64_t maxAdminBodyBytes = 8ULL * 1024 * 1024;
+
+/// @brief Builds an answer with a body.
+Response makeResponse(unsigned status, std::string body, std::string_view contentType = "application/json");
+
+/// @brief Builds a request; the target starts with '/'.
+Request makeRequest(http::verb method, std::string_view target, std::string body = {});
+
+/// @brief Returns a header's value, or an empty text.
+template <typename Message> std::string headerOf(const Message& message, std::string_view name)
+{
+    auto it = message.find(beast::string_view(name.data(), name.size()));
+    return it == message.end() ? std::string() : std::string(it->value());
+}
+
+/// @brief Decodes %XX sequences of a target.
+std::string decodeTarget(std::string_view text);
+
+/// @brief Encodes a path segment.
+std::string encodeSegment(std::string_view text);
+
+/// @brief Returns the value of a query parameter, or an empty text.
+std::string queryValue(std::string_view target, std::string_view name);
+
+/// @brief Returns a target without its query.
+std::string pathOf(std::string_view target);
+
+} // namespace acaciagauge::net
