--- a/src/core/home_map.cpp
+++ b/src/core/home_map.cpp
@@ -23,7 +23,7 @@
                 capacities[it.domain] += it.slots;
         }
         std::vector<ServerInfo> bins;
-    bins.reserve(capacities.size());
+        bins.reserve(capacities.size());
         for (const auto& it : capacities)
             bins.push_back({ it.first, service.name, it.second, true, false });
         return bins;
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -73,9 +73,8 @@
         co_return makeResponse(404, "{}");
     }
 
-    [[nodiscard]] bool isIdle() const { return m_running == 0 && m_waiting == 0; }
-
-    void drain() { m_draining = true; }
+    /// Runs work without grants, for a baseline without the system.
+    void ownAll() { m_ownsAll = true; }
 
 private:
     GrantTable::Options tableOptions(bool checksFences)
@@ -131,7 +130,7 @@
         item.key = headerOf(request, "X-Hot").empty() ? "" : key;
         auto remaining = std::strtoull(headerOf(request, "X-Deadline-Us").c_str(), nullptr, 10);
         auto deadline = monotonicNow() + Duration(remaining ? static_cast<Duration::rep>(remaining) : 60'000'000);
-        if (!m_table.mayRun(item, monotonicNow()))
+        if (!m_ownsAll && !m_table.mayRun(item, monotonicNow()))
             co_return refusal(409, ResultCode::notHeld, requestId);
         if (m_faults.shed || m_waiting >= m_maxWaiting)
             co_return refusal(503, ResultCode::queueFull, requestId);
@@ -158,7 +157,7 @@
             co_await sleep(std::chrono::microseconds(m_faults.serviceTimeUs));
         --m_running;
         // The grant must have stood for the whole of the work; otherwise nothing of it takes effect.
-        bool stillHeld = monotonicNow() < m_table.expiry() && m_table.fenceOf(item) == fence;
+        bool stillHeld = m_ownsAll || (monotonicNow() < m_table.expiry() && m_table.fenceOf(item) == fence);
         if (!stillHeld)
             co_return refusal(409, ResultCode::notHeld, requestId);
         if (m_cancelled.erase(requestId))
@@ -233,6 +232,7 @@
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
     bool m_draining = false;
+    bool m_ownsAll = false;
 };
 
 } // namespace
@@ -246,16 +246,20 @@
     std::uint32_t maxWaiting = 256;
     std::uint64_t serviceTimeUs = 0;
     bool ignoresFences = false;
+    bool ownsAll = false;
     app.add_option("--listen", listen, "IP:PORT to listen on");
     app.add_option("--name", name, "Name in answers");
     app.add_option("--slots", slots, "Work that runs at once")->check(CLI::Range(1, 1024));
     app.add_option("--max-waiting", maxWaiting, "Requests that may wait for a slot before it sheds");
     app.add_option("--service-time-us", serviceTimeUs, "Time that a piece of work takes, in microseconds");
+    app.add_flag("--owns-all", ownsAll, "Runs all work without grants, for baselines");
     app.add_flag("--ignore-fences", ignoresFences, "Takes orders of any epoch and fence");
     CLI11_PARSE(app, argc, argv);
 
     asio::io_context context(1);
     Server server(context, name, slots, maxWaiting, !ignoresFences);
+    if (ownsAll)
+        server.ownAll();
     if (serviceTimeUs) {
         Request request = makeRequest(http::verb::post, "/faults", Json { { "serviceTimeUs", serviceTimeUs } }.dump());
         asio::co_spawn(context, server.handle(std::move(request)), asio::detached);
