--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs every bench and prints its tables.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+for name in unavailable placement admission spread slopes; do
+    printf '\n## %s\n\n' "$name"
+    "$BUILD/acaciagauge_bench" "$name"
+done
+printf '\n## path\n\n'
+BUILD=$BUILD scripts/bench_path.sh
--- a/src/core/home_map.cpp
+++ b/src/core/home_map.cpp
@@ -48,7 +48,7 @@
     if (input.servers.empty())
         return wished;
     wished.homes.assign(service.partitions, 0);
-    for (const auto& it : planIncremental(input, 0.0))
+    for (const auto& it : planIncremental(input, [](const ServiceName&) { return 0.0; }))
         wished.homes[it.first.partition] = indexOf(wished.domains, it.second);
     return wished;
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -51,6 +51,20 @@
 
 } // namespace
 
+void ServiceSlacks::update(const Configuration& configuration)
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto& it : configuration.services)
+        m_slacks[it.first] = it.second.churnWeight * maxSlack;
+}
+
+double ServiceSlacks::of(const ServiceName& service) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_slacks.find(service);
+    return it == m_slacks.end() ? 0.0 : it->second;
+}
+
 Node::Node(asio::io_context& context, Settings settings)
     : m_context(context)
     , m_settings(std::move(settings))
@@ -146,7 +160,9 @@
     options.self = { m_settings.instance, m_incarnation };
     options.domain = m_settings.domain;
     options.timing = m_settings.ownership;
-    options.planner = [](const PlanInput& input) { return planIncremental(input, 0.0); };
+    options.planner = [slacks = m_slacks](const PlanInput& input) {
+        return planIncremental(input, [&](const ServiceName& service) { return slacks->of(service); });
+    };
     auto hook = [this](std::vector<Action> actions, AgentView view) {
         asio::post(m_context, [this, actions = std::move(actions), view = std::move(view)]() mutable {
             for (const auto& it : actions)
@@ -277,6 +293,7 @@
         m_giving.erase(it.service);
     m_routes = RouteTable::create(m_knowledge);
     if (taken.configuration) {
+        m_slacks->update(*taken.configuration);
         m_metrics->setTicket(taken.configuration->number);
         logEvent(
             LogLevel::info, LogEvent::ticketInForce, { { "ticket", std::to_string(taken.configuration->number) } });
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -6,10 +6,25 @@
 #include "daemon/ingress.hpp"
 #include "daemon/store_client.hpp"
 
+#include <mutex>
 #include <random>
 
 namespace acaciagauge::daemon {
 
+/// @brief Slack of each service, read by the actor's thread and written by the node's.
+class ServiceSlacks {
+public:
+    /// @brief Takes the churn weights of a configuration.
+    void update(const Configuration& configuration);
+
+    /// @brief Returns a service's slack; 0 for an unknown service.
+    [[nodiscard]] double of(const ServiceName& service) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<ServiceName, double> m_slacks;
+};
+
 /// @brief One entry instance: all roles, joined on one Asio thread.
 class Node {
 public:
@@ -72,6 +87,7 @@
     std::shared_ptr<net::HttpClient> m_orders;
     Knowledge m_knowledge;
     std::shared_ptr<const RouteTable> m_routes;
+    std::shared_ptr<ServiceSlacks> m_slacks = std::make_shared<ServiceSlacks>();
     AgentView m_view;
     Egress m_egress;
     Ingress m_ingress;
--- a/tests/support/ownership_world.hpp
+++ b/tests/support/ownership_world.hpp
@@ -69,6 +69,8 @@
     [[nodiscard]] std::size_t itemCount() const { return m_options.items; }
     [[nodiscard]] Item itemAt(std::uint32_t n) const { return { "lots", n, "" }; }
     [[nodiscard]] std::string describe() const;
+    /// Indices of the renewer set in the store, the controller's included.
+    [[nodiscard]] std::vector<std::size_t> renewers() const;
     [[nodiscard]] std::uint64_t ownerChanges() const { return m_ownerChanges; }
     /// Longest time that any item had no server that may run it.
     [[nodiscard]] Duration longestGap() const;
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -247,3 +247,20 @@
     CHECK(world.violation() == "");
     CHECK(world.itemsServed() == world.itemCount());
 }
+
+TEST_CASE("a member that is cut off stops renewing a server that the others have given up")
+{
+    OwnershipWorld world({});
+    world.run(3s);
+    auto controller = world.controllerIndex().value();
+    auto members = world.renewers();
+    auto member = members[0] == controller ? members[1] : members[0];
+    isolate(world, member);
+    for (std::size_t n = 0; n < instances; ++n) {
+        if (n != member)
+            world.cutBoth(world.instanceName(n), world.serverName(0));
+    }
+    world.run(8s);
+    CHECK(world.violation() == "");
+    CHECK(world.itemsServed() == world.itemCount());
+}
