Control costs linear in orders; admission keeps goodput under overload

Cause: the slopes bench did not end: each server's answer made the controller scan every item for every server. Ruled out: an endless exchange of orders (a debugger's stack showed the scan in sendGrants). Changed: an index of possible holders, items by owner, and a version that rises only when there is something to order. The admission queue refuses work that would start with less than three mean service times left before its deadline.

--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -155,19 +155,23 @@
         auto tally = Model(instances, slots, load, isShared, 7).run();
         auto& sorted = tally.latencies;
         std::sort(sorted.begin(), sorted.end());
-        auto at = [&](double share) { return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))]; };
-        auto capacity = static_cast<double>(slots) * static_cast<double>(runTime.count()) / static_cast<double>(meanService.count());
+        auto at = [&](double share) {
+            return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+        };
+        auto capacity = static_cast<double>(slots) * static_cast<double>(runTime.count())
+            / static_cast<double>(meanService.count());
         auto offered = static_cast<double>(tally.offered);
         std::printf("| %zu | %u | %.2f | %s | %.3f | %.1f | %.1f | %.1f | %.3f | %.4f |\n", instances, slots, load,
-            isShared ? "one egress" : "direct", static_cast<double>(sorted.size()) / capacity, at(0.5), at(0.99), at(0.999),
-            static_cast<double>(tally.refused) / offered, static_cast<double>(tally.unknown) / offered);
+            isShared ? "one egress" : "direct", static_cast<double>(sorted.size()) / capacity, at(0.5), at(0.99),
+            at(0.999), static_cast<double>(tally.refused) / offered, static_cast<double>(tally.unknown) / offered);
     }
 
 } // namespace
 
 void admission()
 {
-    std::printf("| instances | slots | load | way | goodput/capacity | p50, ms | p99, ms | p99.9, ms | refused | unknown |\n|---|---|---|---|---|---|---|---|---|---|\n");
+    std::printf("| instances | slots | load | way | goodput/capacity | p50, ms | p99, ms | p99.9, ms | refused | "
+                "unknown |\n|---|---|---|---|---|---|---|---|---|---|\n");
     for (std::size_t instances : { 8, 11 }) {
         for (std::uint32_t slots : { 2U, 4U }) {
             for (double load : { 0.7, 0.95, 1.5 }) {
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -8,8 +8,8 @@
 int main(int argc, char** argv)
 {
     using namespace acaciagauge::bench;
-    const std::map<std::string, std::function<void()>> benches { { "unavailable", unavailable }, { "placement", placement },
-        { "admission", admission }, { "spread", spread }, { "slopes", slopes } };
+    const std::map<std::string, std::function<void()>> benches { { "unavailable", unavailable },
+        { "placement", placement }, { "admission", admission }, { "spread", spread }, { "slopes", slopes } };
     if (argc == 2 && benches.contains(argv[1])) {
         benches.at(argv[1])();
         return 0;
--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -32,7 +32,8 @@
     /// Rendezvous hashing; with a bound, an item goes to its best server that has room.
     std::vector<std::uint32_t> rendezvous(const DensePlan& plan, double bound)
     {
-        auto live = static_cast<double>(std::count_if(plan.capacities.begin(), plan.capacities.end(), [](double it) { return it > 0; }));
+        auto live = static_cast<double>(
+            std::count_if(plan.capacities.begin(), plan.capacities.end(), [](double it) { return it > 0; }));
         auto limit = std::ceil(static_cast<double>(plan.owners.size()) / live * bound);
         std::vector<double> used(plan.capacities.size(), 0);
         std::vector<std::uint32_t> next;
@@ -75,7 +76,8 @@
     }
 
     /// Fewest moves: the items of servers that are gone, or the fair share of those that came.
-    double lowerBound(const std::vector<std::uint32_t>& before, const std::vector<double>& old, const std::vector<double>& now)
+    double lowerBound(
+        const std::vector<std::uint32_t>& before, const std::vector<double>& old, const std::vector<double>& now)
     {
         auto capacity = std::accumulate(now.begin(), now.end(), 0.0);
         double moves = 0;
@@ -103,7 +105,8 @@
         auto ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
         auto bound = lowerBound(before, old, now);
         std::printf("| %s | %s | %s | %.3f | %zu | %.0f | %.2f | %.1f |\n", deployment.name, event, name,
-            imbalanceOf(plan, after), movesOf(before, after), bound, static_cast<double>(movesOf(before, after)) / bound, ms);
+            imbalanceOf(plan, after), movesOf(before, after), bound,
+            static_cast<double>(movesOf(before, after)) / bound, ms);
     }
 
     void compare(const Deployment& deployment, const char* event, std::size_t firstGone, std::size_t gone, bool joins)
@@ -114,11 +117,15 @@
             less[firstGone + n] = 0;
         const auto& old = joins ? less : full;
         const auto& now = joins ? full : less;
-        report(deployment, event, "incremental", [](const DensePlan& plan) { return rebalance(plan); }, old, now);
+        report(
+            deployment, event, "incremental", [](const DensePlan& plan) { return rebalance(plan); }, old, now);
         if (deployment.servers * deployment.items > 200'000'000)
             return;
-        report(deployment, event, "rendezvous", [](const DensePlan& plan) { return rendezvous(plan, 1e9); }, old, now);
-        report(deployment, event, "bounded rendezvous 1.05", [](const DensePlan& plan) { return rendezvous(plan, 1.05); }, old, now);
+        report(
+            deployment, event, "rendezvous", [](const DensePlan& plan) { return rendezvous(plan, 1e9); }, old, now);
+        report(
+            deployment, event, "bounded rendezvous 1.05", [](const DensePlan& plan) { return rendezvous(plan, 1.05); },
+            old, now);
     }
 
 } // namespace
@@ -129,7 +136,8 @@
         { "Lakestone block-ledger", 12, 1024, 2, 0.3 * maxSlack }, { "Nyabugogo entries", 15, 1024, 4, maxSlack },
         { "Nyabugogo draw-board", 9, 1024, 4, maxSlack }, { "1,000 servers", 1000, 100'000, 2, 0.3 * maxSlack },
         { "10,000 servers", 10'000, 1'000'000, 2, 0.3 * maxSlack } };
-    std::printf("| deployment | event | policy | fullest/mean | moves | lower bound | moves/bound | planning, ms |\n|---|---|---|---|---|---|---|---|\n");
+    std::printf("| deployment | event | policy | fullest/mean | moves | lower bound | moves/bound | planning, ms "
+                "|\n|---|---|---|---|---|---|---|---|\n");
     for (const auto& it : deployments) {
         compare(it, "joins", 3, 1, true);
         compare(it, "is lost or leaves", 3, 1, false);
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -60,9 +60,11 @@
         auto built = heapBytes();
         std::string text;
         auto encode = microseconds([&] { text = toJson(news.records[0]).dump(); });
-        std::printf("partitions %u: knowledge %.1f B each, route table %.1f B each, build %.3f us each, record %.2f B each, encode %.3f us each\n",
-            partitions, static_cast<double>(known - before) / partitions, static_cast<double>(built - known) / partitions,
-            build / partitions, static_cast<double>(text.size()) / partitions, encode / partitions);
+        std::printf("partitions %u: knowledge %.1f B each, route table %.1f B each, build %.3f us each, record %.2f B "
+                    "each, encode %.3f us each\n",
+            partitions, static_cast<double>(known - before) / partitions,
+            static_cast<double>(built - known) / partitions, build / partitions,
+            static_cast<double>(text.size()) / partitions, encode / partitions);
         constexpr int lookups = 200'000;
         std::size_t found = 0;
         auto lookup = microseconds([&] {
@@ -77,7 +79,8 @@
         Agent::Options options;
         options.self = { "e1", 1 };
         options.domain = "north";
-        options.planner = [](const PlanInput& input) { return planIncremental(input, [](const ServiceName&) { return 0.0; }); };
+        options.planner
+            = [](const PlanInput& input) { return planIncremental(input, [](const ServiceName&) { return 0.0; }); };
         TimePoint now { 1s };
         auto before = heapBytes();
         auto agent = Agent::create(options, now).value();
@@ -109,7 +112,9 @@
                 for (const auto& it : actions) {
                     if (const auto* order = std::get_if<SendServer>(&it)) {
                         orders += counts;
-                        feed(ServerAnswered { order->server, order->sequence, tables.at(order->server).handle(order->order, now) }, counts);
+                        feed(ServerAnswered { order->server, order->sequence,
+                                 tables.at(order->server).handle(order->order, now) },
+                            counts);
                     } else if (const auto* read = std::get_if<ReadRecord>(&it)) {
                         feed(StoreAnswered { read->sequence, StoreOutcome::ok, 0, std::nullopt }, counts);
                     } else if (const auto* write = std::get_if<WriteRecord>(&it)) {
@@ -125,8 +130,10 @@
             feed(Tick {}, n >= warmTicks);
             answerAll(n >= warmTicks);
         }
-        std::printf("agent, %zu servers, %zu items each: %.2f%% of a core, %.0f orders/s, %.2f us an order, %.0f B an item\n", servers,
-            itemsPerServer, spent / (ticks * 10'000.0) * 100, static_cast<double>(orders) / (ticks * 0.01), spent / static_cast<double>(orders),
+        std::printf(
+            "agent, %zu servers, %zu items each: %.2f%% of a core, %.0f orders/s, %.2f us an order, %.0f B an item\n",
+            servers, itemsPerServer, spent / (ticks * 10'000.0) * 100, static_cast<double>(orders) / (ticks * 0.01),
+            spent / static_cast<double>(orders),
             static_cast<double>(heapBytes() - before) / static_cast<double>(servers * itemsPerServer));
     }
 
@@ -144,7 +151,8 @@
                 net::decodeAnswer(reply);
             }
         });
-        std::printf("renewal: %zu B order, %zu B answer (bodies), %.2f us to encode and decode\n", text.size(), reply.size(), spent / rounds);
+        std::printf("renewal: %zu B order, %zu B answer (bodies), %.2f us to encode and decode\n", text.size(),
+            reply.size(), spent / rounds);
     }
 
 } // namespace
--- a/bench/spread.cpp
+++ b/bench/spread.cpp
@@ -148,20 +148,25 @@
             worst = std::max(worst, result.lastMs);
             mostMissed = std::max(mostMissed, result.missed);
         }
-        std::printf("| %zu | %s | %.1f | %zu | %.0f | %.1f | %.0f |\n", n, way, static_cast<double>(sum.missed) / runs, mostMissed,
-            worst, static_cast<double>(sum.messages) / runs / static_cast<double>(n), static_cast<double>(sum.bytes) / runs / static_cast<double>(n));
+        std::printf("| %zu | %s | %.1f | %zu | %.0f | %.1f | %.0f |\n", n, way, static_cast<double>(sum.missed) / runs,
+            mostMissed, worst, static_cast<double>(sum.messages) / runs / static_cast<double>(n),
+            static_cast<double>(sum.bytes) / runs / static_cast<double>(n));
     }
 
 } // namespace
 
 void spread()
 {
-    std::printf("| instances | way | missed, mean | missed, most | last, ms | messages per instance | bytes per instance |\n|---|---|---|---|---|---|---|\n");
+    std::printf("| instances | way | missed, mean | missed, most | last, ms | messages per instance | bytes per "
+                "instance |\n|---|---|---|---|---|---|---|\n");
     for (std::size_t n : { 10, 100, 1000, 14'000 }) {
         report("tree", n, [](Fleet fleet, std::mt19937_64& random) { return tree(std::move(fleet), 1, random); });
-        report("two parents", n, [](Fleet fleet, std::mt19937_64& random) { return tree(std::move(fleet), 2, random); });
-        report("gossip", n, [](Fleet fleet, std::mt19937_64& random) { return gossip(std::move(fleet), false, random); });
-        report("gossip with digests", n, [](Fleet fleet, std::mt19937_64& random) { return gossip(std::move(fleet), true, random); });
+        report(
+            "two parents", n, [](Fleet fleet, std::mt19937_64& random) { return tree(std::move(fleet), 2, random); });
+        report(
+            "gossip", n, [](Fleet fleet, std::mt19937_64& random) { return gossip(std::move(fleet), false, random); });
+        report("gossip with digests", n,
+            [](Fleet fleet, std::mt19937_64& random) { return gossip(std::move(fleet), true, random); });
     }
 }
 
--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -12,6 +12,7 @@
 #include "acaciagauge/detail/keyspace/partition.hpp"
 #include "acaciagauge/detail/ownership/agent.hpp"
 #include "acaciagauge/detail/ownership/grant_table.hpp"
+#include "acaciagauge/detail/ownership/holders.hpp"
 #include "acaciagauge/detail/ownership/messages.hpp"
 #include "acaciagauge/detail/ownership/orders.hpp"
 #include "acaciagauge/detail/planning/planner.hpp"
--- a/include/acaciagauge/detail/admission/server_queue.hpp
+++ b/include/acaciagauge/detail/admission/server_queue.hpp
@@ -72,6 +72,7 @@
 
     ServerQueue(Options options, TimePoint now);
     Duration expectedWait(std::size_t ahead, TimePoint now) const;
+    Duration marginBeforeDeadline() const;
 
     Options m_options;
     TimePoint m_coldSince;
--- a/include/acaciagauge/detail/ownership/agent.hpp
+++ b/include/acaciagauge/detail/ownership/agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciagauge/detail/ownership/holders.hpp"
 #include "acaciagauge/detail/ownership/messages.hpp"
 
 #include <functional>
@@ -197,7 +198,7 @@
         TimePoint lastProbe {};
         TimePoint lastRenewal {};
         TimePoint silentSince {};
-        std::set<Item> mayHold; ///< Superset of what it holds or may come to hold.
+        std::uint64_t checkedVersion = 0; ///< Value of m_workVersion when nothing was left to order.
         std::map<Item, Fence> confirmed; ///< What it said it holds.
         std::uint64_t confirmedDigest = 0;
         std::set<Item> revoked; ///< Taken away by this controller; a new grant needs a new fence.
@@ -301,7 +302,6 @@
     void reconcile();
     void replan();
     bool isUp(const ServerId& server) const;
-    bool isHeldElsewhere(const Item& item, const ServerId& except) const;
     std::map<Item, Holding> readyChanges();
     void removeForeignItems();
     void commit();
@@ -309,6 +309,8 @@
     void finishAgreement();
     void applyChanges(const std::map<Item, Holding>& changes);
     void publish();
+    void noteWork();
+    void rebuildOwned();
     void limitPlannedMoves();
     bool sendRevocations(ServerBook& book);
     bool sendGrants(ServerBook& book);
@@ -368,6 +370,10 @@
     std::optional<Epoch> m_confirmedEpoch;
     std::vector<ServerInfo> m_servers;
     std::map<ServerId, ServerBook> m_books;
+    Holders m_holders;
+    std::map<ServerId, std::vector<Item>> m_owned; ///< Items of m_working by owner; rebuilt when stale.
+    bool m_ownedStale = true;
+    std::uint64_t m_workVersion = 1; ///< Rises when there may be new revocations or grants to order.
     std::map<Item, ServerId> m_desired;
     bool m_replanNeeded = true;
     bool m_reconcileNeeded = true;
--- a/include/acaciagauge/detail/tickets/filing.hpp
+++ b/include/acaciagauge/detail/tickets/filing.hpp
@@ -58,7 +58,8 @@
     /// @brief Goes on after the log entry of this ticket's number was read; empty if there is none.
     Step logRead(StoreOutcome outcome, const std::optional<Ticket>& entry);
 
-    /// @brief Goes on after the log was written; any outcome but unavailable will do, since the entry is always the same.
+    /// @brief Goes on after the log was written; any outcome but unavailable will do, since the entry is always the
+    /// same.
     Step logWritten(StoreOutcome outcome);
 
     /// @brief Goes on after the head was written.
--- a/src/core/agent_campaign.cpp
+++ b/src/core/agent_campaign.cpp
@@ -201,6 +201,7 @@
     for (const auto& it : stored)
         m_proposal.erase(it.first);
     m_agreed.clear();
+    noteWork();
     applyChanges(stored);
     std::erase_if(m_provisional, [&](const auto& it) {
         auto found = record.items.find(it.first);
@@ -281,15 +282,17 @@
             former.members[it] = it == m_options.self ? FormerMember { true, true, m_now, m_now } : FormerMember {};
         m_former.push_back(std::move(former));
     }
+    noteWork();
+    // A controller that renews its own set also remembers what it granted and could not confirm.
+    if (!wasController)
+        m_holders.reset();
     for (auto& it : m_books) {
         ServerBook fresh;
         fresh.info = it.second.info;
-        if (wasController)
-            fresh.mayHold = std::move(it.second.mayHold);
         it.second = std::move(fresh);
     }
     for (const auto& it : m_working.items)
-        m_books[it.second.server].mayHold.insert(it.first);
+        m_holders.add(it.second.server, it.first);
     auto moves = m_agreedMoves;
     for (const auto& it : moves)
         adoptMove(it);
@@ -302,10 +305,11 @@
 // Both servers count as possible holders; the higher fence names the owner.
 void Agent::adoptMove(const ProvisionalMove& move)
 {
-    m_books[move.holding.server].mayHold.insert(move.item);
+    m_holders.add(move.holding.server, move.item);
+    noteWork();
     auto& holding = m_working.items[move.item];
     if (!holding.server.empty())
-        m_books[holding.server].mayHold.insert(move.item);
+        m_holders.add(holding.server, move.item);
     if (move.holding.fence <= holding.fence)
         return;
     holding = move.holding;
--- a/src/core/agent_reconcile.cpp
+++ b/src/core/agent_reconcile.cpp
@@ -46,6 +46,7 @@
         input.owners[it.first] = it.second.server;
     m_desired = m_options.planner(input);
     limitPlannedMoves();
+    noteWork();
     m_replanNeeded = false;
     m_reconcileNeeded = true;
 }
@@ -71,13 +72,20 @@
     return it != m_books.end() && it->second.reach == Reach::up;
 }
 
-bool Agent::isHeldElsewhere(const Item& item, const ServerId& except) const
+void Agent::noteWork()
 {
-    for (const auto& it : m_books) {
-        if (it.first != except && it.second.mayHold.contains(item))
-            return true;
-    }
-    return false;
+    ++m_workVersion;
+    m_ownedStale = true;
+}
+
+void Agent::rebuildOwned()
+{
+    if (!m_ownedStale)
+        return;
+    m_ownedStale = false;
+    m_owned.clear();
+    for (const auto& it : m_working.items)
+        m_owned[it.second.server].push_back(it.first);
 }
 
 std::map<Item, Holding> Agent::readyChanges()
@@ -94,7 +102,7 @@
         if (isNew && m_confirmedEpoch.value_or(m_set.epoch) != m_set.epoch)
             continue;
         bool needsFence = isSame && m_books.at(it.second).revoked.contains(it.first);
-        if ((isSame && !needsFence) || isHeldElsewhere(it.first, it.second))
+        if ((isSame && !needsFence) || m_holders.isHeldElsewhere(it.first, it.second))
             continue;
         changes[it.first] = { it.second, fence };
     }
@@ -106,9 +114,11 @@
 void Agent::removeForeignItems()
 {
     bool removed = std::erase_if(m_working.items,
-        [this](const auto& it) { return !m_items.contains(it.first) && !isHeldElsewhere(it.first, {}); });
-    if (removed)
+        [this](const auto& it) { return !m_items.contains(it.first) && !m_holders.isHeldElsewhere(it.first, {}); });
+    if (removed) {
         m_dirtyRecord = true;
+        noteWork();
+    }
 }
 
 void Agent::commit()
@@ -170,6 +180,7 @@
         m_books[it.second.server].revoked.erase(it.first);
     }
     ++m_working.version;
+    noteWork();
     m_replanNeeded = true;
     m_reconcileNeeded = true;
 }
@@ -184,7 +195,7 @@
     std::vector<Item> items;
     if (!mayTakeFrom(book))
         return false;
-    for (const auto& it : book.mayHold) {
+    for (const auto& it : m_holders.itemsOf(book.info.id)) {
         auto desired = m_desired.find(it);
         bool isForeign = !m_items.contains(it);
         bool isElsewhere = desired != m_desired.end() && desired->second != book.info.id && isUp(desired->second);
@@ -201,20 +212,21 @@
 {
     std::vector<Item> items;
     Fence fence;
-    for (const auto& it : m_working.items) {
-        bool isOwner = it.second.server == book.info.id;
+    for (const auto& it : m_owned[book.info.id]) {
+        auto holding = m_working.items.find(it);
+        bool isOwner = holding != m_working.items.end() && holding->second.server == book.info.id;
         // A proposed change may land at any moment; the present owner must not be granted the item anew.
-        if (!isOwner || book.revoked.contains(it.first) || m_proposal.contains(it.first))
+        if (!isOwner || book.revoked.contains(it) || m_proposal.contains(it))
             continue;
-        auto desired = m_desired.find(it.first);
+        auto desired = m_desired.find(it);
         bool isMoving = desired == m_desired.end() || desired->second != book.info.id;
-        auto confirmed = book.confirmed.find(it.first);
-        bool isHeld = confirmed != book.confirmed.end() && confirmed->second == it.second.fence;
-        bool isOtherFence = !items.empty() && it.second.fence != fence;
-        if (isMoving || isHeld || isOtherFence || isHeldElsewhere(it.first, book.info.id))
+        auto confirmed = book.confirmed.find(it);
+        bool isHeld = confirmed != book.confirmed.end() && confirmed->second == holding->second.fence;
+        bool isOtherFence = !items.empty() && holding->second.fence != fence;
+        if (isMoving || isHeld || isOtherFence || m_holders.isHeldElsewhere(it, book.info.id))
             continue;
-        fence = it.second.fence;
-        items.push_back(it.first);
+        fence = holding->second.fence;
+        items.push_back(it);
         if (items.size() >= maxItemsPerOrder)
             break;
     }
--- a/src/core/agent_servers.cpp
+++ b/src/core/agent_servers.cpp
@@ -11,6 +11,7 @@
         return renewAsMember();
     if (!hasAuthority(m_now))
         return;
+    rebuildOwned();
     for (auto& it : m_books)
         tendServer(it.second);
 }
@@ -33,8 +34,14 @@
             sendOrder(book, OrderKind::inventory);
         return;
     }
-    bool changes = isController() && (sendRevocations(book) || sendGrants(book));
-    if (!changes && m_now - book.lastRenewal >= timing.heartbeat)
+    bool mayHaveWork = isController() && book.checkedVersion != m_workVersion;
+    if (mayHaveWork) {
+        if (sendRevocations(book) || sendGrants(book))
+            return;
+        if (mayTakeFrom(book))
+            book.checkedVersion = m_workVersion;
+    }
+    if (m_now - book.lastRenewal >= timing.heartbeat)
         sendOrder(book, OrderKind::renew);
 }
 
@@ -54,8 +61,10 @@
         used = std::max(used, book.stampReceived);
         book.lastRenewal = m_now;
     }
-    if (kind == OrderKind::grant)
-        book.mayHold.insert(items.begin(), items.end());
+    if (kind == OrderKind::grant) {
+        for (const auto& it : items)
+            m_holders.add(book.info.id, it);
+    }
     auto sequence = ++m_sequence;
     book.lastProbe = m_now;
     book.outstanding = Outstanding { sequence, kind, std::move(items), m_now };
@@ -120,7 +129,8 @@
 void Agent::serverIsOut(ServerBook& book)
 {
     book.reach = Reach::out;
-    book.mayHold.clear();
+    m_holders.clear(book.info.id);
+    noteWork();
     book.confirmed.clear();
     book.confirmedDigest = 0;
     book.inventoried = false;
@@ -179,7 +189,7 @@
     }
     if (answer.code != ResultCode::ok) {
         book.inventoried = false;
-        return tendServers();
+        return;
     }
     if (outstanding.kind == OrderKind::inventory)
         takeInventory(book, answer);
@@ -190,8 +200,12 @@
     bool isComplete = outstanding.kind != OrderKind::revoke || answer.released;
     if (isComplete && outstanding.kind != OrderKind::inventory && answer.heldDigest != book.confirmedDigest)
         book.inventoried = false;
+    auto before = m_workVersion;
     reconcile();
-    if (isComplete)
+    rebuildOwned();
+    if (isComplete && hasAuthority(m_now))
+        tendServer(book);
+    if (m_workVersion != before)
         tendServers();
 }
 
@@ -203,15 +217,16 @@
     book.confirmed = answer.held;
     book.confirmedDigest = digestOf(answer.held);
     if (book.info.checksFences && m_now >= book.uncertainUntil)
-        book.mayHold.clear();
+        m_holders.clear(book.info.id);
+    noteWork();
     for (const auto& it : answer.held) {
-        book.mayHold.insert(it.first);
+        m_holders.add(book.info.id, it.first);
         auto& holding = m_working.items[it.first];
         if (holding.server == book.info.id || it.second <= holding.fence)
             continue;
         // The server's fence is newer than the record: the record is older than the grant.
         if (!holding.server.empty())
-            m_books[holding.server].mayHold.insert(it.first);
+            m_holders.add(holding.server, it.first);
         holding = { book.info.id, it.second };
         m_provisional[it.first] = holding;
         m_dirtyRecord = true;
@@ -243,11 +258,12 @@
     if (!released)
         return;
     for (const auto& it : items) {
-        book.mayHold.erase(it);
+        m_holders.remove(book.info.id, it);
         book.confirmed.erase(it);
         book.revoked.insert(it);
     }
     book.confirmedDigest = digestOf(book.confirmed);
+    noteWork();
     m_reconcileNeeded = true;
 }
 
--- a/src/core/filing.cpp
+++ b/src/core/filing.cpp
@@ -83,8 +83,8 @@
     if (entry->writer == m_ticket.writer)
         return Accepted { m_inForce };
     return Refused { { ResultCode::ticketNumberTaken,
-        "ticket " + std::to_string(entry->number) + " is taken, filed by writer \"" + entry->writer + "\"; in force is ticket "
-            + std::to_string(m_inForce.number) } };
+        "ticket " + std::to_string(entry->number) + " is taken, filed by writer \"" + entry->writer
+            + "\"; in force is ticket " + std::to_string(m_inForce.number) } };
 }
 
 Filing::Step Filing::logWritten(StoreOutcome outcome)
--- a/src/core/rebalance.cpp
+++ b/src/core/rebalance.cpp
@@ -60,8 +60,8 @@
             next[n] = owner;
         }
         if (!plan.weights.empty())
-            std::stable_sort(moving.begin(), moving.end(),
-                [&](auto a, auto b) { return plan.weights[a] > plan.weights[b]; });
+            std::stable_sort(
+                moving.begin(), moving.end(), [&](auto a, auto b) { return plan.weights[a] > plan.weights[b]; });
         return moving;
     }
 
--- a/src/core/server_queue.cpp
+++ b/src/core/server_queue.cpp
@@ -11,6 +11,7 @@
     constexpr double shedDecrease = 0.7;
     constexpr double shedIncrease = 0.02;
     constexpr double minShedFactor = 0.1;
+    constexpr double startMargin = 3; ///< Mean service times that must remain when work starts.
 
 } // namespace
 
@@ -41,6 +42,11 @@
     return Duration(static_cast<Duration::rep>(rounds * m_serviceMicros));
 }
 
+Duration ServerQueue::marginBeforeDeadline() const
+{
+    return Duration(static_cast<Duration::rep>(startMargin * m_serviceMicros));
+}
+
 ServerQueue::Verdict ServerQueue::offer(std::uint64_t id, Priority priority, TimePoint deadline, TimePoint now)
 {
     if (m_waiting.empty() && m_inFlight < concurrency(now)) {
@@ -53,7 +59,7 @@
         auto firstView = m_waiting.lower_bound({ Priority::view, 0 });
         ahead = static_cast<std::size_t>(std::distance(m_waiting.begin(), firstView));
     }
-    if (isFull || now + expectedWait(ahead, now) > deadline)
+    if (isFull || now + expectedWait(ahead, now) + marginBeforeDeadline() > deadline)
         return Verdict::refuse;
     m_waiting[{ priority, ++m_arrivals }] = { id, deadline };
     return Verdict::wait;
@@ -77,7 +83,8 @@
 {
     std::vector<Left> left;
     for (auto it = m_waiting.begin(); it != m_waiting.end() && m_inFlight < concurrency(now);) {
-        bool isLate = now >= it->second.deadline;
+        // Work that starts too late would end as unknown; refused now, it is known not to have run.
+        bool isLate = now + marginBeforeDeadline() >= it->second.deadline;
         left.push_back({ it->second.id, isLate ? ResultCode::deadlineExceeded : ResultCode::ok });
         m_inFlight += !isLate;
         it = m_waiting.erase(it);
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -125,7 +125,8 @@
     if (filing)
         step = co_await carryOut(*filing);
     if (const auto* refused = std::get_if<Filing::Refused>(&step)) {
-        logEvent(LogLevel::warn, LogEvent::ticketRefused, { { "ticket", number }, { "message", refused->error.message } });
+        logEvent(
+            LogLevel::warn, LogEvent::ticketRefused, { { "ticket", number }, { "message", refused->error.message } });
         co_return errorResponse(statusOf(refused->error.code), refused->error);
     }
     News news;
@@ -142,7 +143,8 @@
         if (std::holds_alternative<Filing::ReadHead>(step)) {
             auto stored = co_await m_node.store().read(headKey);
             auto head = readHead(stored);
-            step = filing.headRead(head ? StoreOutcome::ok : StoreOutcome::unavailable, stored.revision, head.value_or(TicketHead {}));
+            step = filing.headRead(
+                head ? StoreOutcome::ok : StoreOutcome::unavailable, stored.revision, head.value_or(TicketHead {}));
         } else if (const auto* entry = std::get_if<Filing::ReadLog>(&step)) {
             auto stored = co_await m_node.store().read(logKey(entry->number));
             auto logged = parseTicket(stored.value);
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -93,7 +93,8 @@
 
 Cluster::Cluster(unsigned basePort)
     : m_base(basePort)
-    , m_folder(std::filesystem::temp_directory_path() / ("acaciagauge-e2e-" + std::to_string(::getpid()) + "-" + std::to_string(basePort)))
+    , m_folder(std::filesystem::temp_directory_path()
+          / ("acaciagauge-e2e-" + std::to_string(::getpid()) + "-" + std::to_string(basePort)))
 {
     std::filesystem::create_directories(m_folder);
     for (int n = 1; n <= daemons; ++n)
@@ -135,9 +136,10 @@
 void Cluster::writeSettings(int n)
 {
     std::ofstream out(m_folder / ("e" + std::to_string(n) + ".ini"));
-    out << "[instance]\nid = e" << n << "\ndomain = " << domainOf(n) << "\n[listen]\ncallers = " << addressOf(callersPort(n))
-        << "\nadmin = " << addressOf(adminPort(n)) << "\nrpc = " << addressOf(rpcPort(n))
-        << "\n[platform]\naddress = " << addressOf(m_base) << "\n[admin]\ntoken = secret\n"
+    out << "[instance]\nid = e" << n << "\ndomain = " << domainOf(n)
+        << "\n[listen]\ncallers = " << addressOf(callersPort(n)) << "\nadmin = " << addressOf(adminPort(n))
+        << "\nrpc = " << addressOf(rpcPort(n)) << "\n[platform]\naddress = " << addressOf(m_base)
+        << "\n[admin]\ntoken = secret\n"
         << "[limits]\ncold_start_ms = 0\nleave_grace_ms = 1200\n";
 }
 
@@ -166,8 +168,9 @@
 void Cluster::startServer(int n)
 {
     auto name = "s" + std::to_string(n);
-    spawn(name, { "standin_server", "--listen", addressOf(serverPort(n)), "--name", name, "--slots", "2", "--service-time-us",
-                    "1000", "--record", (m_folder / (name + ".record")).string() });
+    spawn(name,
+        { "standin_server", "--listen", addressOf(serverPort(n)), "--name", name, "--slots", "2", "--service-time-us",
+            "1000", "--record", (m_folder / (name + ".record")).string() });
 }
 
 void Cluster::signalDaemon(int n, int signal)
@@ -235,12 +238,14 @@
     for (int n = 1; n <= servers; ++n)
         list.push_back({ { "id", "s" + std::to_string(n) }, { "domain", n <= 3 ? "north" : "south" },
             { "address", addressOf(serverPort(n)) }, { "slots", 2 }, { "leaving", n == leavingServer } });
-    return { { "number", number }, { "writer", writer }, { "services", { { "lots", { { "partitions", 48 }, { "servers", list } } } } } };
+    return { { "number", number }, { "writer", writer },
+        { "services", { { "lots", { { "partitions", 48 }, { "servers", list } } } } } };
 }
 
 nlohmann::json Cluster::status(int daemon) const
 {
-    return nlohmann::json::parse(call(adminPort(daemon), net::makeRequest(net::http::verb::get, "/status")).response.body(), nullptr, false);
+    return nlohmann::json::parse(
+        call(adminPort(daemon), net::makeRequest(net::http::verb::get, "/status")).response.body(), nullptr, false);
 }
 
 bool Cluster::waitServing(int daemon, std::chrono::seconds limit) const
@@ -282,11 +287,13 @@
             auto body = "body-" + std::to_string(daemon) + "-" + std::to_string(worker) + "-" + std::to_string(n);
             auto request = net::makeRequest(isBid ? net::http::verb::post : net::http::verb::get, "/lots/" + key, body);
             request.set("X-Deadline-Ms", "1000");
-            auto exchange = co_await client->exchange(addressOf(callersPort(daemon)), std::move(request), std::chrono::seconds(4));
+            auto exchange = co_await client->exchange(
+                addressOf(callersPort(daemon)), std::move(request), std::chrono::seconds(4));
             Told told;
             told.method = isBid ? "POST" : "GET";
             told.key = key;
-            bool isUnsent = exchange.state == net::ExchangeState::refused || exchange.state == net::ExchangeState::notSent;
+            bool isUnsent
+                = exchange.state == net::ExchangeState::refused || exchange.state == net::ExchangeState::notSent;
             told.outcome = isUnsent ? "refused" : "noAnswer";
             if (exchange.state == net::ExchangeState::answered) {
                 told.requestId = net::headerOf(exchange.response, "X-Request-Id");
@@ -294,8 +301,8 @@
             }
             if (told.outcome == "ran") {
                 auto answer = nlohmann::json::parse(exchange.response.body(), nullptr, false);
-                told.isOwnAnswer = answer.is_object() && answer.value("echo", "") == body && answer.value("key", "") == key
-                    && answer.value("requestId", "") == told.requestId;
+                told.isOwnAnswer = answer.is_object() && answer.value("echo", "") == body
+                    && answer.value("key", "") == key && answer.value("requestId", "") == told.requestId;
             }
             {
                 std::lock_guard lock(m_mutex);
@@ -353,8 +360,8 @@
             broken.push_back("request " + it.requestId + " ran, but its caller was told notRun");
         if (it.outcome == "ran" && !runs.contains(it.requestId))
             broken.push_back("request " + it.requestId + " did not run, but its caller was told ran");
-        bool isClosedSet = it.outcome == "ran" || it.outcome == "notRun" || it.outcome == "unknown" || it.outcome == "noAnswer"
-            || it.outcome == "refused";
+        bool isClosedSet = it.outcome == "ran" || it.outcome == "notRun" || it.outcome == "unknown"
+            || it.outcome == "noAnswer" || it.outcome == "refused";
         if (!isClosedSet)
             broken.push_back("request " + it.requestId + " has the outcome \"" + it.outcome + "\"");
     }
@@ -368,7 +375,8 @@
             std::sort(list.begin(), list.end(), [](const Executed& a, const Executed& b) { return a.time < b.time; });
             for (std::size_t n = 1; n < list.size(); ++n) {
                 if (list[n].fence < list[n - 1].fence && list[n].server != list[n - 1].server)
-                    broken.push_back("key " + key.first + " ran at " + list[n].server + " under an older fence than before at " + list[n - 1].server);
+                    broken.push_back("key " + key.first + " ran at " + list[n].server
+                        + " under an older fence than before at " + list[n - 1].server);
             }
         }
     }
--- a/tests/e2e/cluster.hpp
+++ b/tests/e2e/cluster.hpp
@@ -31,7 +31,8 @@
 
 private:
     net::asio::awaitable<void> acceptLoop();
-    net::asio::awaitable<void> pump(std::shared_ptr<net::asio::ip::tcp::socket> from, std::shared_ptr<net::asio::ip::tcp::socket> to);
+    net::asio::awaitable<void> pump(
+        std::shared_ptr<net::asio::ip::tcp::socket> from, std::shared_ptr<net::asio::ip::tcp::socket> to);
 
     net::asio::io_context m_context { 1 };
     net::asio::ip::tcp::acceptor m_acceptor;
@@ -78,9 +79,11 @@
     void serverFaults(int n, const nlohmann::json& faults);
     CutRelay& rpcRelay(int n) { return *m_relays.at(n); }
 
-    net::Exchange call(unsigned port, net::Request request, std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
+    net::Exchange call(
+        unsigned port, net::Request request, std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
     net::Exchange file(int daemon, const nlohmann::json& ticket) const;
-    [[nodiscard]] nlohmann::json lotsTicket(TicketNumber number, const std::string& writer, int leavingServer = 0) const;
+    [[nodiscard]] nlohmann::json lotsTicket(
+        TicketNumber number, const std::string& writer, int leavingServer = 0) const;
     nlohmann::json status(int daemon) const;
     bool waitServing(int daemon, std::chrono::seconds limit = std::chrono::seconds(20)) const;
 
--- a/tests/e2e/test_processes.cpp
+++ b/tests/e2e/test_processes.cpp
@@ -54,7 +54,8 @@
 
 std::size_t countOf(const std::vector<Told>& told, const std::string& outcome)
 {
-    return static_cast<std::size_t>(std::count_if(told.begin(), told.end(), [&](const Told& it) { return it.outcome == outcome; }));
+    return static_cast<std::size_t>(
+        std::count_if(told.begin(), told.end(), [&](const Told& it) { return it.outcome == outcome; }));
 }
 
 /// Returns the daemon that controls the domain north: 1 or 2.
@@ -120,7 +121,8 @@
     std::this_thread::sleep_for(500ms);
     auto leaving = northController(serving.cluster);
     serving.cluster.signalDaemon(leaving, SIGTERM);
-    // The balancer takes a leaving instance off its list; these callers keep on, and refused connections are its answer.
+    // The balancer takes a leaving instance off its list; these callers keep on, and refused connections are its
+    // answer.
     CHECK(serving.cluster.waitDaemon(leaving) == 0);
     std::this_thread::sleep_for(500ms);
     auto told = serving.settle();
@@ -183,7 +185,8 @@
     Serving serving;
     serving.cluster.startLoad({ 1, 2, 3 });
     for (int n = 0; n < 10; ++n) {
-        serving.cluster.serverFaults(1 + n % 6, { { "truncateAnswers", 3 }, { "crossAnswers", 3 }, { "dropAnswers", n % 3 == 0 ? 1 : 0 } });
+        serving.cluster.serverFaults(
+            1 + n % 6, { { "truncateAnswers", 3 }, { "crossAnswers", 3 }, { "dropAnswers", n % 3 == 0 ? 1 : 0 } });
         std::this_thread::sleep_for(100ms);
     }
     std::this_thread::sleep_for(1500ms);
@@ -231,7 +234,8 @@
     auto port = cluster.callersPort(1);
     auto unknown = cluster.call(port, net::makeRequest(net::http::verb::get, "/unheard-of/key"));
     CHECK(unknown.response.result_int() == 404);
-    auto oversized = cluster.call(port, net::makeRequest(net::http::verb::post, "/lots/key", std::string(net::maxBodyBytes + 1, 'x')));
+    auto oversized = cluster.call(
+        port, net::makeRequest(net::http::verb::post, "/lots/key", std::string(net::maxBodyBytes + 1, 'x')));
     CHECK((oversized.response.result_int() == 413 || oversized.state == net::ExchangeState::broken));
     auto overlong = net::makeRequest(net::http::verb::get, "/lots/key");
     overlong.set("X-Long", std::string(net::maxHeaderBytes + 1, 'x'));
--- a/tests/support/ownership_world.cpp
+++ b/tests/support/ownership_world.cpp
@@ -65,7 +65,8 @@
     options.self = { instanceName(n), instance.incarnation };
     options.domain = "d";
     options.timing = m_options.timing;
-    options.planner = [](const PlanInput& input) { return planIncremental(input, [](const ServiceName&) { return 0.0; }); };
+    options.planner
+        = [](const PlanInput& input) { return planIncremental(input, [](const ServiceName&) { return 0.0; }); };
     instance.agent = Agent::create(options, localNow(instance.rate)).value();
     instance.nextTick = m_now + Duration(1000 * static_cast<Duration::rep>(n));
     InstancesListed listed;
--- a/tests/test_requests.cpp
+++ b/tests/test_requests.cpp
@@ -16,8 +16,9 @@
 
 Attempt anyAttempt()
 {
-    static const ResultCode codes[] = { ResultCode::noOwner, ResultCode::notHeld, ResultCode::queueFull,
-        ResultCode::deadlineExceeded, ResultCode::outcomeUnknown, ResultCode::peerUnreachable, ResultCode::answerTruncated };
+    static const ResultCode codes[]
+        = { ResultCode::noOwner, ResultCode::notHeld, ResultCode::queueFull, ResultCode::deadlineExceeded,
+              ResultCode::outcomeUnknown, ResultCode::peerUnreachable, ResultCode::answerTruncated };
     Attempt attempt;
     attempt.outcome = Outcome(*rc::gen::inRange(0, 3));
     attempt.code = codes[*rc::gen::inRange(0, 7)];
--- a/tests/test_tickets.cpp
+++ b/tests/test_tickets.cpp
@@ -119,7 +119,8 @@
         CHECK(ticket.error().code == ResultCode::malformedTicket);
         return ticket.error().message;
     };
-    CHECK(refusal(R"({"number":1,"services":{"lots":{"partitions":0,"servers":[]}}})").find("services.lots.partitions") == 0);
+    CHECK(refusal(R"({"number":1,"services":{"lots":{"partitions":0,"servers":[]}}})").find("services.lots.partitions")
+        == 0);
     CHECK(refusal(R"({"number":0,"services":{}})").find("ticket.number") == 0);
     CHECK(refusal(R"({"number":1})") == "the ticket touches no subject");
     CHECK(refusal(R"({"number":1,"colour":2,"services":{}})").find("\"colour\"") != std::string::npos);
@@ -178,7 +179,8 @@
         ModelStore store;
         std::vector<Operator> operators;
         TicketNumber next = 1;
-        auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, static_cast<int>(StoreFault::count))));
+        auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, static_cast<int>(StoreFault::count))));
         for (const auto& it : steps) {
             if (it.first == 0 || operators.empty())
                 operators.push_back(makeOperator(next, "w" + std::to_string(operators.size())));
@@ -197,7 +199,8 @@
             bool won = store.winners.contains(it.number) && store.winners[it.number] == it.writer;
             bool isAccepted = std::holds_alternative<Filing::Accepted>(it.step);
             RC_ASSERT(!isAccepted || won);
-            bool saysUnknown = !isAccepted && std::get<Filing::Refused>(it.step).error.code == ResultCode::storeOutcomeUnknown;
+            bool saysUnknown
+                = !isAccepted && std::get<Filing::Refused>(it.step).error.code == ResultCode::storeOutcomeUnknown;
             RC_ASSERT(isAccepted || saysUnknown || !won);
         }
         // Every ticket but the head's own is in the log.
