Ownership: a successor remembers former members until their last grants have run out

Ruled out: the slow link itself and the new holder index (the trace shows the early wait-out, not a wrong holder). Changed: former sets stay in the record until the longest grant after they were settled has passed.

--- a/src/core/agent_campaign.cpp
+++ b/src/core/agent_campaign.cpp
@@ -369,21 +369,23 @@
 
 void Agent::settleFormer()
 {
-    if (m_formerSettledAt)
-        return;
-    bool allSettled = true;
-    for (auto& former : m_former) {
-        settleSilentMembers(former);
-        for (const auto& it : former.members)
-            allSettled = allSettled && it.second.settled;
+    if (!m_formerSettledAt) {
+        bool allSettled = true;
+        for (auto& former : m_former) {
+            settleSilentMembers(former);
+            for (const auto& it : former.members)
+                allSettled = allSettled && it.second.settled;
+        }
+        if (allSettled)
+            m_formerSettledAt = m_now;
     }
-    if (!allSettled)
+    // What the former members renewed last has to run out before a successor may forget them.
+    auto wait = withMargin(m_options.timing.grantDuration, m_options.timing.clockRateMargin);
+    bool isOver = m_formerSettledAt && m_now >= *m_formerSettledAt + wait;
+    if (!isOver || m_working.former.empty())
         return;
-    m_formerSettledAt = m_now;
-    if (!m_working.former.empty()) {
-        m_working.former.clear();
-        m_dirtyRecord = true;
-    }
+    m_working.former.clear();
+    m_dirtyRecord = true;
 }
 
 // Mirrors hasAuthority(): a silent member heard a joined one in the old epoch at the latest when that one joined.
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -264,3 +264,16 @@
     CHECK(world.violation() == "");
     CHECK(world.itemsServed() == world.itemCount());
 }
+
+TEST_CASE("a server behind a slow link keeps its items until its grants have run out")
+{
+    OwnershipWorld world({});
+    world.run(2s);
+    std::vector<Step> steps { { Fault::killInstance, 2, 0, 0 }, { Fault::killInstance, 1, 0, 19 },
+        { Fault::slowLink, 0, 0, 4365 }, { Fault::killInstance, 3, 0, 238 } };
+    for (const auto& it : steps)
+        apply(world, it);
+    repairAndWait(world);
+    CHECK(world.violation() == "");
+    CHECK(world.itemsServed() == world.itemCount());
+}
