--- a/include/acaciagauge/detail/ownership/agent.hpp
+++ b/include/acaciagauge/detail/ownership/agent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciagauge/detail/charts/chart.hpp"
 #include "acaciagauge/detail/ownership/holders.hpp"
 #include "acaciagauge/detail/ownership/messages.hpp"
 
@@ -121,7 +122,7 @@
 
 using Action = std::variant<SendPeer, SendServer, ReadRecord, WriteRecord, Publish>;
 
-/// @brief What an instance does at present in its domain.
+/// @brief What an instance does at present in its domain. Numbered like the states of charts/role.chart.
 enum class AgentRole {
     follower,
     reading, ///< Reads the record before a campaign, or after a write whose outcome is unknown.
@@ -144,7 +145,8 @@
 
     /// @brief Creates an agent that knows nothing yet.
     /// @param now time of the process's start; no stamp was used before it
-    /// @return invalidSetting if a duration is not positive or the planner is missing
+    /// @return invalidSetting if a duration is not positive or the planner is missing; invalidChart if a chart is
+    /// damaged
     static Result<Agent> create(Options options, TimePoint now);
 
     /// @brief Handles one event.
@@ -173,6 +175,25 @@
     [[nodiscard]] bool hasHandedOver() const { return m_role != AgentRole::controller; }
 
 private:
+    /// Events of charts/role.chart.
+    enum class RoleEvent {
+        read,
+        readDone,
+        campaign,
+        lost,
+        won,
+        informed,
+        deposed,
+    };
+
+    /// Events of charts/server.chart.
+    enum class ServerEvent {
+        inventoried,
+        timedOut,
+        gone,
+    };
+
+    /// States of charts/server.chart.
     enum class Reach {
         unknown,
         up,
@@ -228,6 +249,8 @@
     };
 
     Agent(Options options, TimePoint now);
+    void changeRole(RoleEvent event) { advance(builtInChart("role"), m_role, event); }
+    static void changeReach(ServerBook& book, ServerEvent event) { advance(builtInChart("server"), book.reach, event); }
 
     // agent.cpp: dispatch, membership and authority
     void on(const Tick&);
--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -24,6 +24,8 @@
 {
     if (!options.planner)
         return failure(ResultCode::invalidSetting, "an agent needs a planner");
+    if (auto charts = checkBuiltInCharts(); !charts)
+        return tl::make_unexpected(charts.error());
     const auto& timing = options.timing;
     if (timing.heartbeat <= Duration::zero() || timing.grantDuration <= timing.heartbeat * 2)
         return failure(ResultCode::invalidSetting, "the grant duration must exceed two heartbeats");
--- a/src/core/agent_campaign.cpp
+++ b/src/core/agent_campaign.cpp
@@ -89,8 +89,7 @@
     m_storePurpose = purpose;
     m_storeBusy = true;
     m_storeSequence = ++m_sequence;
-    if (m_role == AgentRole::follower)
-        m_role = AgentRole::reading;
+    changeRole(RoleEvent::read);
     m_actions.push_back(ReadRecord { m_storeSequence });
 }
 
@@ -120,8 +119,7 @@
 
 void Agent::recordRead(StorePurpose purpose, const StoreAnswered& event)
 {
-    if (m_role == AgentRole::reading)
-        m_role = AgentRole::follower;
+    changeRole(RoleEvent::readDone);
     if (event.outcome != StoreOutcome::ok)
         return;
     if (purpose == StorePurpose::resolve) {
@@ -214,8 +212,7 @@
 void Agent::pendingWriteFailed()
 {
     m_pendingWrite.reset();
-    if (m_role == AgentRole::campaigning)
-        m_role = AgentRole::follower;
+    changeRole(RoleEvent::lost);
     m_nextCampaign = m_now + m_options.timing.takeoverStagger;
 }
 
@@ -249,8 +246,7 @@
     // A controller that renews its own set writes only what the store has agreed to.
     for (const auto& it : m_provisional)
         record.items[it.first] = it.second;
-    if (m_role != AgentRole::controller)
-        m_role = AgentRole::campaigning;
+    changeRole(RoleEvent::campaign);
     m_campaignSent = m_now;
     m_handOverAsked = false;
     writeRecord(StorePurpose::campaign, std::move(record));
@@ -259,7 +255,7 @@
 void Agent::becomeJoining()
 {
     bool wasController = isController();
-    m_role = AgentRole::joining;
+    changeRole(RoleEvent::won);
     m_set = m_working.renewers;
     m_controller = m_options.self;
     m_newestEpoch = m_set.epoch;
@@ -350,7 +346,7 @@
         if (!isInformed(it))
             return;
     }
-    m_role = AgentRole::controller;
+    changeRole(RoleEvent::informed);
     m_replanNeeded = true;
 }
 
@@ -418,7 +414,7 @@
 
 void Agent::stepDown()
 {
-    m_role = AgentRole::follower;
+    changeRole(RoleEvent::deposed);
     m_proposal.clear();
     m_provisional.clear();
     m_agreed.clear();
--- a/src/core/agent_servers.cpp
+++ b/src/core/agent_servers.cpp
@@ -78,9 +78,10 @@
         book.uncertainUntil = m_now + withMargin(m_options.timing.grantDuration, m_options.timing.clockRateMargin);
     book.outstanding.reset();
     book.inventoried = false;
-    if (book.reach == Reach::silent || book.reach == Reach::out)
+    auto before = book.reach;
+    changeReach(book, ServerEvent::timedOut);
+    if (book.reach == before)
         return;
-    book.reach = Reach::silent;
     book.silentSince = m_now;
     book.stopBounds.clear();
     book.stopSequence += 1 + (book.stopSequence % 2);
@@ -128,7 +129,7 @@
 
 void Agent::serverIsOut(ServerBook& book)
 {
-    book.reach = Reach::out;
+    changeReach(book, ServerEvent::gone);
     m_holders.clear(book.info.id);
     noteWork();
     book.confirmed.clear();
@@ -212,7 +213,7 @@
 void Agent::takeInventory(ServerBook& book, const ServerAnswer& answer)
 {
     bool wasUp = book.reach == Reach::up;
-    book.reach = Reach::up;
+    changeReach(book, ServerEvent::inventoried);
     book.inventoried = true;
     book.confirmed = answer.held;
     book.confirmedDigest = digestOf(answer.held);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -455,7 +455,7 @@
 {
     while (true) {
         co_await sleepFor(m_context, homesInterval);
-        if (m_view.role != AgentRole::controller || m_leaving)
+        if (m_view.role != AgentRole::controller || isLeaving())
             continue;
         auto services = m_knowledge.configuration().services;
         for (const auto& it : services)
@@ -530,11 +530,13 @@
 
 awaitable<std::size_t> Node::leave()
 {
-    m_leaving = true;
+    const auto& chart = builtInChart("daemon");
+    advance(chart, m_state, DaemonEvent::stopAsked);
     logEvent(LogLevel::info, LogEvent::leaving, { { "inFlight", std::to_string(inFlight()) } });
     m_actor->tell(Leave {});
     m_callers->drain();
     co_await sleepFor(m_context, m_settings.leaveGrace);
+    advance(chart, m_state, DaemonEvent::graceOver);
     m_callers->stop();
     auto handOverEnd = monotonicNow() + handOverLimit;
     while (m_view.role == AgentRole::controller && monotonicNow() < handOverEnd)
@@ -542,6 +544,7 @@
     auto end = monotonicNow() + leaveLimit;
     while (inFlight() > 0 && monotonicNow() < end)
         co_await sleepFor(m_context, leavePoll);
+    advance(chart, m_state, DaemonEvent::finished);
     m_egress.close();
     co_return inFlight();
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -25,6 +25,21 @@
     std::map<ServiceName, double> m_slacks;
 };
 
+/// @brief States of charts/daemon.chart.
+enum class DaemonState {
+    serving,
+    announcing,
+    finishing,
+    stopped,
+};
+
+/// @brief Events of charts/daemon.chart.
+enum class DaemonEvent {
+    stopAsked,
+    graceOver,
+    finished,
+};
+
 /// @brief One entry instance: all roles, joined on one Asio thread.
 class Node {
 public:
@@ -46,7 +61,7 @@
     [[nodiscard]] StoreClient& store() { return m_store; }
     [[nodiscard]] Metrics& metrics() { return *m_metrics; }
     [[nodiscard]] const Tracer& tracer() const { return m_tracer; }
-    [[nodiscard]] bool isLeaving() const { return m_leaving; }
+    [[nodiscard]] bool isLeaving() const { return m_state != DaemonState::serving; }
     [[nodiscard]] std::size_t inFlight() const { return m_callers->inFlight() + m_egress.inFlight(); }
     /// @}
 
@@ -99,7 +114,7 @@
     std::map<InstanceId, Incarnation> m_peerRuns; ///< Newest run of each peer that sent a message.
     std::map<ServiceName, std::set<std::uint32_t>> m_giving; ///< Partitions whose new home is being written.
     std::uint64_t m_headRevision = 0;
-    bool m_leaving = false;
+    DaemonState m_state = DaemonState::serving;
 };
 
 } // namespace acaciagauge::daemon
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -33,12 +33,17 @@
 {
 }
 
-void StoreClient::note(bool available)
+void StoreClient::note(bool isAnswered)
 {
-    if (available == m_available)
+    enum class StoreEvent {
+        answered,
+        failed,
+    };
+    auto before = m_link;
+    advance(builtInChart("store"), m_link, isAnswered ? StoreEvent::answered : StoreEvent::failed);
+    if (m_link == before)
         return;
-    m_available = available;
-    if (available)
+    if (isAvailable())
         logEvent(LogLevel::info, LogEvent::storeAvailable);
     else
         logEvent(LogLevel::warn, LogEvent::storeUnavailable, { { "address", m_address } });
--- a/src/daemon/store_client.hpp
+++ b/src/daemon/store_client.hpp
@@ -13,6 +13,12 @@
     std::string value;
 };
 
+/// @brief States of charts/store.chart.
+enum class StoreLink {
+    available,
+    unavailable,
+};
+
 /// @brief Client of the platform's key-value service and instance list.
 class StoreClient {
 public:
@@ -32,15 +38,15 @@
     boost::asio::awaitable<std::string> instances();
 
     /// @brief Returns true if the last call was answered.
-    [[nodiscard]] bool isAvailable() const { return m_available; }
+    [[nodiscard]] bool isAvailable() const { return m_link == StoreLink::available; }
 
 private:
     boost::asio::awaitable<StoredValue> get(std::string target, std::chrono::milliseconds timeout);
-    void note(bool available);
+    void note(bool isAnswered);
 
     std::string m_address;
     std::shared_ptr<net::HttpClient> m_client;
-    bool m_available = true;
+    StoreLink m_link = StoreLink::available;
 };
 
 } // namespace acaciagauge::daemon
