--- a/src/core/agent_campaign.cpp
+++ b/src/core/agent_campaign.cpp
@@ -243,7 +243,7 @@
     record.controller = m_options.self;
     record.version = m_working.version + 1;
     record.writer = newToken();
-    // A controller that renews its own set writes only what the store has agreed to.
+    // Changes that are in force without the store are written along.
     for (const auto& it : m_provisional)
         record.items[it.first] = it.second;
     changeRole(RoleEvent::campaign);
