Authority test isolates its member from the other servers too

Cause: the mutant "renew without authority" survived: the trace shows that the isolated member learned of the newer epoch from another server's refusal and stopped by that. Changed: the test cuts the member from all servers but the silent one, so that only its authority can stop it.

--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -260,6 +260,9 @@
         if (n != member)
             world.cutBoth(world.instanceName(n), world.serverName(0));
     }
+    // Other servers would tell the member of the newer epoch.
+    for (std::size_t n = 1; n < servers; ++n)
+        world.cutBoth(world.instanceName(member), world.serverName(n));
     world.run(8s);
     CHECK(world.violation() == "");
     CHECK(world.itemsServed() == world.itemCount());
