Home map property: faithful records; a gift needs the record of the controller's own epoch

The trace: a deposed controller gave away partitions because the model told it that its record was empty. The node is held to the same rule: it gives nothing while the record that it knows is of another epoch. Ruled out: a fault in the keeper (the trace has no other false input).

--- a/src/daemon/node_relay.cpp
+++ b/src/daemon/node_relay.cpp
@@ -160,7 +160,8 @@
     auto record = m_knowledge.records().find(m_settings.domain);
     HomeKeeper::Situation situation;
     situation.epoch = m_view.epoch;
-    situation.isSettled = m_view.settled && m_view.planNumber == m_planNumber && record != m_knowledge.records().end();
+    situation.isSettled = m_view.settled && m_view.planNumber == m_planNumber && record != m_knowledge.records().end()
+        && record->second.epoch() == m_view.epoch;
     situation.holds = [&](std::uint32_t n) { return record->second.items.contains({ service.name, n, "" }); };
     auto next = m_homes.nextWrite(service, isKnown ? &known->second : nullptr, lostDomains(), situation);
     if (!next)
