--- a/include/acaciagauge/detail/ownership/grant_table.hpp
+++ b/include/acaciagauge/detail/ownership/grant_table.hpp
@@ -31,6 +31,9 @@
     /// @brief Returns the fence under which an item is held, or a zero fence.
     [[nodiscard]] Fence fenceOf(const Item& item) const;
 
+    /// @brief Returns true if nothing is held at `now`.
+    [[nodiscard]] bool isEmpty(TimePoint now) const { return m_held.empty() || now >= m_expiry; }
+
     /// @brief Returns when all grants end.
     [[nodiscard]] TimePoint expiry() const { return m_expiry; }
 
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+/// Requests that were sent before the routes changed are still refused as not run, not cut.
+constexpr auto lingerAfterDrain = std::chrono::milliseconds(500);
+
 struct Faults {
     std::uint64_t serviceTimeUs = 0;
     std::uint64_t truncateAnswers = 0; ///< Number of answers that end early.
@@ -74,6 +77,15 @@
         co_return makeResponse(404, "{}");
     }
 
+    /// Asks the controller to move everything away, and waits until nothing is held and nothing runs.
+    asio::awaitable<void> drain()
+    {
+        m_draining = true;
+        while (!m_table.isEmpty(monotonicNow()) || m_running > 0 || m_waiting > 0)
+            co_await sleep(std::chrono::milliseconds(10));
+        co_await sleep(lingerAfterDrain);
+    }
+
     /// Appends each execution to a file, which outlives a killed process.
     void recordTo(const std::string& path) { m_record.open(path, std::ios::app); }
 
@@ -286,7 +298,8 @@
     }
     (*http)->start();
     asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&](auto, auto) { context.stop(); });
+    signals.async_wait(
+        [&](auto, auto) { asio::co_spawn(context, server.drain(), [&](std::exception_ptr) { context.stop(); }); });
     context.run();
     return 0;
 }
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -193,9 +193,8 @@
     m_processes.erase(name);
 }
 
-int Cluster::waitDaemon(int n)
+int Cluster::waitProcess(const std::string& name)
 {
-    auto name = "e" + std::to_string(n);
     int state = 0;
     ::waitpid(m_processes.at(name), &state, 0);
     m_processes.erase(name);
--- a/tests/e2e/cluster.hpp
+++ b/tests/e2e/cluster.hpp
@@ -74,7 +74,8 @@
     void signalDaemon(int n, int signal);
     void signalServer(int n, int signal);
     /// @brief Waits for a daemon's end. @return its exit code, or -1 if a signal ended it
-    int waitDaemon(int n);
+    int waitDaemon(int n) { return waitProcess("e" + std::to_string(n)); }
+    int waitServer(int n) { return waitProcess("s" + std::to_string(n)); }
     void platformFaults(const nlohmann::json& faults);
     void serverFaults(int n, const nlohmann::json& faults);
     CutRelay& rpcRelay(int n) { return *m_relays.at(n); }
@@ -100,6 +101,7 @@
 
 private:
     pid_t spawn(const std::string& name, std::vector<std::string> arguments);
+    int waitProcess(const std::string& name);
     void writeSettings(int n);
     void loadLoop(int daemon, int worker);
     static std::string addressOf(unsigned port) { return "127.0.0.1:" + std::to_string(port); }
--- a/tests/e2e/test_processes.cpp
+++ b/tests/e2e/test_processes.cpp
@@ -151,6 +151,19 @@
     CHECK(countOf(told, "noAnswer") == 0);
 }
 
+TEST_CASE("a graceful shutdown of a server under load cuts nothing")
+{
+    Serving serving;
+    serving.cluster.startLoad({ 1, 2, 3 });
+    std::this_thread::sleep_for(500ms);
+    serving.cluster.signalServer(4, SIGTERM);
+    CHECK(serving.cluster.waitServer(4) == 0);
+    std::this_thread::sleep_for(500ms);
+    auto told = serving.settle();
+    CHECK(countOf(told, "unknown") == 0);
+    CHECK(countOf(told, "noAnswer") == 0);
+}
+
 TEST_CASE("the platform is down for long, and a server is lost meanwhile")
 {
     Serving serving;
