--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -24,6 +24,9 @@
 /// Requests that were sent before the routes changed are still refused as not run, not cut.
 constexpr auto lingerAfterDrain = std::chrono::milliseconds(500);
 
+/// How much longer work takes while the server is cold.
+constexpr int coldFactor = 4;
+
 struct Faults {
     std::uint64_t serviceTimeUs = 0;
     std::uint64_t truncateAnswers = 0; ///< Number of answers that end early.
@@ -86,6 +89,9 @@
         co_await sleep(lingerAfterDrain);
     }
 
+    /// Works slower for a while after its start.
+    void startCold(Duration duration) { m_coldTime = duration; }
+
     /// Appends each execution to a file, which outlives a killed process.
     void recordTo(const std::string& path) { m_record.open(path, std::ios::app); }
 
@@ -115,6 +121,8 @@
         return makeResponse(200, encodeAnswer(answer));
     }
 
+    bool isCold() const { return monotonicNow() < m_started + m_coldTime; }
+
     double load() const
     {
         return m_faults.reportedLoad >= 0 ? m_faults.reportedLoad : static_cast<double>(m_running) / m_slots;
@@ -170,7 +178,7 @@
             co_return refusal(504, ResultCode::deadlineExceeded, requestId);
         ++m_running;
         if (m_faults.serviceTimeUs)
-            co_await sleep(std::chrono::microseconds(m_faults.serviceTimeUs));
+            co_await sleep(std::chrono::microseconds(m_faults.serviceTimeUs) * (isCold() ? coldFactor : 1));
         --m_running;
         // The grant must have stood for the whole of the work; otherwise nothing of it takes effect.
         bool stillHeld = m_ownsAll || (monotonicNow() < m_table.expiry() && m_table.fenceOf(item) == fence);
@@ -252,6 +260,8 @@
     std::uint32_t m_waiting = 0;
     bool m_draining = false;
     bool m_ownsAll = false;
+    TimePoint m_started = monotonicNow();
+    Duration m_coldTime { 0 };
     std::ofstream m_record;
 };
 
@@ -268,11 +278,13 @@
     bool ignoresFences = false;
     bool ownsAll = false;
     std::string record;
+    std::uint64_t coldMs = 0;
     app.add_option("--listen", listen, "IP:PORT to listen on");
     app.add_option("--name", name, "Name in answers");
     app.add_option("--slots", slots, "Work that runs at once")->check(CLI::Range(1, 1024));
     app.add_option("--max-waiting", maxWaiting, "Requests that may wait for a slot before it sheds");
     app.add_option("--service-time-us", serviceTimeUs, "Time that a piece of work takes, in microseconds");
+    app.add_option("--cold-ms", coldMs, "Time after the start in which work takes four times as long");
     app.add_option("--record", record, "File to which each execution is appended");
     app.add_flag("--owns-all", ownsAll, "Runs all work without grants, for baselines");
     app.add_flag("--ignore-fences", ignoresFences, "Takes orders of any epoch and fence");
@@ -280,6 +292,7 @@
 
     asio::io_context context(1);
     Server server(context, name, slots, maxWaiting, !ignoresFences);
+    server.startCold(std::chrono::milliseconds(coldMs));
     if (!record.empty())
         server.recordTo(record);
     if (ownsAll)
