Agent: remove what nothing reads

Cause: the last reading found a flag, a time and three accessors without a reader; two of them were worked out on the actor after every event. Changed: m_recordKnown, silentSince, hasHandedOver(), drainingServers() and two fields of AgentView are gone; no behaviour.

--- a/include/acaciagauge/detail/ownership/agent.hpp
+++ b/include/acaciagauge/detail/ownership/agent.hpp
@@ -175,12 +175,6 @@
     /// @brief Returns how many servers answer, are silent, or were given up.
     [[nodiscard]] std::map<std::string, std::size_t> serverStates() const;
 
-    /// @brief Returns servers that report to be draining.
-    [[nodiscard]] std::set<ServerId> drainingServers() const;
-
-    /// @brief Returns true after Leave once another instance has the controller's role, or if it never had it.
-    [[nodiscard]] bool hasHandedOver() const { return m_role != AgentRole::controller; }
-
 private:
     /// Events of charts/role.chart.
     enum class RoleEvent {
@@ -225,7 +219,6 @@
         bool draining = false;
         TimePoint lastProbe {};
         TimePoint lastRenewal {};
-        TimePoint silentSince {};
         std::uint64_t checkedVersion = 0; ///< Value of m_workVersion when nothing was left to order.
         std::map<Item, Fence> confirmed; ///< What it said it holds.
         std::uint64_t confirmedDigest = 0;
@@ -379,7 +372,6 @@
     bool m_storeBusy = false;
     TimePoint m_campaignSent {};
     std::uint64_t m_revision = 0;
-    bool m_recordKnown = false;
     bool m_storeDown = false;
     TimePoint m_nextStoreTry {};
     TimePoint m_nextCampaign {};
--- a/src/core/agent.cpp
+++ b/src/core/agent.cpp
@@ -368,14 +368,4 @@
     return states;
 }
 
-std::set<ServerId> Agent::drainingServers() const
-{
-    std::set<ServerId> draining;
-    for (const auto& it : m_books) {
-        if (it.second.draining)
-            draining.insert(it.first);
-    }
-    return draining;
-}
-
 } // namespace acaciagauge
--- a/src/core/agent_servers.cpp
+++ b/src/core/agent_servers.cpp
@@ -82,7 +82,6 @@
     changeReach(book, ServerEvent::timedOut);
     if (book.reach == before)
         return;
-    book.silentSince = m_now;
     book.stopBounds.clear();
     book.stopSequence += 1 + (book.stopSequence % 2);
     book.lastStopSent = {};
--- a/src/daemon/domain_actor.cpp
+++ b/src/daemon/domain_actor.cpp
@@ -31,12 +31,10 @@
         AgentView view;
         view.role = state.agent->role();
         view.epoch = state.agent->epoch();
-        view.hasAuthority = state.agent->hasAuthority(monotonicNow());
         view.committed = state.agent->isCommitted();
         view.settled = state.agent->isSettled();
         view.planNumber = state.agent->planNumber();
         view.serverStates = state.agent->serverStates();
-        view.draining = state.agent->drainingServers();
         state.hook(std::move(actions), std::move(view));
     }
 
--- a/src/daemon/domain_actor.hpp
+++ b/src/daemon/domain_actor.hpp
@@ -12,12 +12,10 @@
 struct AgentView {
     AgentRole role = AgentRole::follower;
     Epoch epoch = 0;
-    bool hasAuthority = false;
     bool committed = true;
     bool settled = false;
     std::uint64_t planNumber = 0;
     std::map<std::string, std::size_t> serverStates;
-    std::set<ServerId> draining;
 };
 
 /// @brief Runs an Agent in a CAF actor, on a thread group of its own.
