--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -78,7 +78,7 @@
         auto key = "key-" + std::to_string(isHot ? 0 : m_random() % m_options.keys);
         bool isChange = draw(m_random) < m_options.changeShare;
         auto method = isChange ? http::verb::post : http::verb::get;
-        auto prefix = m_options.direct ? "/work/" : "/";
+        auto prefix = m_options.direct ? "/keys/" : "/";
         auto request = makeRequest(method, prefix + m_options.service + "/" + key);
         request.set("X-Deadline-Ms", std::to_string(m_options.deadlineMs));
         if (m_options.direct) {
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -24,7 +24,7 @@
     options.address = listen;
     options.handler = [&](Request request) -> asio::awaitable<Response> {
         auto number = ++next;
-        auto out = makeRequest(request.method(), "/work" + std::string(request.target()), request.body());
+        auto out = makeRequest(request.method(), "/keys" + std::string(request.target()), request.body());
         out.set("X-Request-Id", "relay-" + std::to_string(number));
         out.set("X-Partition", "0");
         auto exchange
--- a/src/daemon/egress.cpp
+++ b/src/daemon/egress.cpp
@@ -114,7 +114,7 @@
 net::Request Egress::buildRequest(
     const ForwardRequest& request, const Route& route, TimePoint deadline, const TraceContext& trace) const
 {
-    auto target = "/work/" + net::encodeSegment(request.service) + "/" + net::encodeSegment(request.key);
+    auto target = "/keys/" + net::encodeSegment(request.service) + "/" + net::encodeSegment(request.key);
     auto out = net::makeRequest(net::http::verb::get, target, request.body);
     out.method_string(request.method);
     out.prepare_payload();
