--- /dev/null
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "acaciagauge/detail/common/ids.hpp"
+#include "acaciagauge/detail/common/time.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace acaciagauge {
+
+/// @brief One run of a server process. A restart under the same id is another run.
+struct ServerRun {
+    ServerId id;
+    std::int64_t startedMs = 0; ///< Unix time of the process's start in ms, as the server states it.
+
+    auto operator<=>(const ServerRun&) const = default;
+};
+
+/// @brief What a server says of itself.
+struct ServerEntry {
+    ServerRun run;
+    ServiceName service;
+    std::string address; ///< "IP:PORT".
+    DomainId domain;
+    unsigned slots = 1; ///< Requests that it works on at once.
+    bool draining = false;
+    std::chrono::milliseconds coldLeft { 0 }; ///< How much longer it was slow when it wrote this.
+};
+
+/// @brief How a server stands.
+enum class ServerStanding {
+    ready,
+    draining, ///< It announced its leaving.
+    gone, ///< Its entry is no longer there; the process may still run.
+};
+
+/// @brief A server as the directory knows it.
+struct KnownServer {
+    ServerEntry entry;
+    ServerStanding standing = ServerStanding::ready;
+    TimePoint since; ///< When the standing was learned.
+    TimePoint listedAt; ///< When this run was first seen.
+};
+
+/// @brief Servers of all services.
+///
+/// An entry that vanishes while the store is away may only have lapsed: its server stays in use until the store has
+/// been back for some time.
+class ServerDirectory {
+public:
+    struct Options {
+        Duration lapseGrace = std::chrono::milliseconds(2200); ///< Time after the store's return for entries to return.
+        Duration forgetAfter = std::chrono::seconds(30); ///< Time that a gone server is remembered.
+    };
+
+    static ServerDirectory create(Options options);
+
+    /// @brief Takes an entry in.
+    void update(const ServerEntry& entry, TimePoint now);
+
+    /// @brief Notes that a server's entry is no longer there.
+    void remove(const ServerId& id, TimePoint now);
+
+    /// @brief Notes that the store does not answer.
+    void storeAway() { m_storeAway = true; }
+
+    /// @brief Notes that the store answers.
+    void storeBack(TimePoint now);
+
+    /// @brief Moves servers whose grace is over to `gone`, and forgets old ones.
+    /// @return true if something changed
+    bool settle(TimePoint now);
+
+    /// @brief Returns when settle() has work next; nothing if there is none.
+    [[nodiscard]] std::optional<TimePoint> nextDue() const;
+
+    /// @brief Finds a server; null if it is unknown.
+    [[nodiscard]] const KnownServer* find(const ServerId& id) const;
+
+    [[nodiscard]] const std::map<ServerId, KnownServer>& servers() const { return m_servers; }
+
+private:
+    explicit ServerDirectory(Options options)
+        : m_options(options)
+    {
+    }
+    void markGone(KnownServer& server, TimePoint now);
+
+    Options m_options;
+    std::map<ServerId, KnownServer> m_servers;
+    std::map<ServerId, TimePoint> m_vanished; ///< Entries that may have lapsed, and when their grace ends.
+    bool m_storeAway = false;
+    TimePoint m_graceUntil;
+};
+
+} // namespace acaciagauge
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -118,9 +118,35 @@
   homes @3 :List(Text);
 }
 
+struct KeyCount {
+  key @0 :UInt32;
+  requests @1 :UInt32;
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  counts @1 :List(KeyCount);
+}
+
+struct StoreChange {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  removed @3 :Bool;
+}
+
+struct StoreDelta {
+  at @0 :UInt64;
+  isSnapshot @1 :Bool;
+  changes @2 :List(StoreChange);
+}
+
 interface Peer {
   control @0 (message :ControlMessage) -> ();
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
   exchange @2 (digest :Digest) -> (news :News);
   announce @3 (news :News) -> ();
+  reportLoad @4 (loads :List(ServiceLoad)) -> ();
+  # What the store's copy of the asked instance has beyond a revision.
+  changesSince @5 (revision :UInt64) -> (delta :StoreDelta);
 }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,5 +3,5 @@
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
-ls src/core/*.cpp src/ctl/*.cpp src/daemon/settings.cpp src/daemon/directory.cpp \
+ls src/core/*/*.cpp src/ctl/*.cpp src/daemon/settings.cpp src/daemon/directory.cpp \
     | xargs -P"$(nproc)" -n1 clang-tidy --quiet -p "$BUILD" --warnings-as-errors='*' 2>/dev/null && echo "lint: clean"
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -32,18 +32,18 @@
     cp "$SCRATCH/original" "$SCRATCH/$file"
 }
 
-table=src/core/grant_table.cpp
+table=src/core/ownership/grant_table.cpp
 mutant "skip the fence check" test_ownership $table 's/order.fence < highest/false/; s/order.epoch < m_highestEpoch/false/'
 mutant "run grants from their arrival" test_ownership $table 's/TimePoint(Duration(order.stamp.ticks)) + order.duration/now + order.duration/'
 mutant "revive expired grants" test_ownership $table 's/^    dropExpired(now);$/    static_cast<void>(0);/'
-mutant "skip the renewers' agreement to stop" test_ownership src/core/agent_servers.cpp 's/            return std::nullopt;/            continue;/'
-mutant "skip the members' agreement without the store" test_ownership src/core/agent_reconcile.cpp 's/        if (!m_agreed.contains(it))$/        if (m_agreed.contains(it))/'
-mutant "renew without authority" test_ownership src/core/agent.cpp 's/    return now < newest + .*/    return now != TimePoint::max() || newest == oldest;/'
-mutant "retry an unknown outcome" test_requests src/core/retry.cpp 's/attempt.idempotent \&\& budget.take()/budget.take()/'
+mutant "skip the renewers' agreement to stop" test_ownership src/core/ownership/agent_servers.cpp 's/            return std::nullopt;/            continue;/'
+mutant "skip the members' agreement without the store" test_ownership src/core/ownership/agent_reconcile.cpp 's/        if (!m_agreed.contains(it))$/        if (m_agreed.contains(it))/'
+mutant "renew without authority" test_ownership src/core/ownership/agent.cpp 's/    return now < newest + .*/    return now != TimePoint::max() || newest == oldest;/'
+mutant "retry an unknown outcome" test_requests src/core/routing/retry.cpp 's/attempt.idempotent \&\& budget.take()/budget.take()/'
 mutant "take a truncated answer" test_requests src/net/http_client.cpp 's/bool isWhole = !ec \&\& !parser.need_eof();/bool isWhole = parser.is_header_done();/'
-mutant "let an old ticket in" test_tickets src/core/ticket.cpp 's/candidate.number <= current.number/candidate.number == current.number/'
-mutant "take a number twice" test_tickets src/core/ticket.cpp 's/ticket.number <= current.number)/ticket.number < current.number)/'
-keeper=src/core/home_keeper.cpp
+mutant "let an old ticket in" test_tickets src/core/tickets/ticket.cpp 's/candidate.number <= current.number/candidate.number == current.number/'
+mutant "take a number twice" test_tickets src/core/tickets/ticket.cpp 's/ticket.number <= current.number)/ticket.number < current.number)/'
+keeper=src/core/assignment/home_keeper.cpp
 mutant "give a partition away before it is settled" test_homes $keeper 's/isConfirmed \&\& situation.isSettled/isConfirmed/' 20000
 mutant "give without confirming the epoch" test_homes $keeper 's/bool isConfirmed = .*/bool isConfirmed = known != nullptr;/' 20000
 mutant "take back what is being given" test_homes $keeper 's/\&\& !isGiven/\&\& (!isGiven || isGiven)/' 20000
--- /dev/null
+++ b/src/core/config/desired_state.cpp
@@ -0,0 +1,71 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+
+namespace acaciagauge {
+
+namespace {
+
+    std::string hostKey(std::string_view host)
+    {
+        std::string key(host.substr(0, host.find(':')));
+        std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
+        return key;
+    }
+
+} // namespace
+
+std::shared_ptr<const DesiredState> DesiredState::create(std::uint64_t version, std::vector<RouteRule> routes,
+    std::map<ServiceName, ServiceRule> services, CallerLimits limits)
+{
+    std::shared_ptr<DesiredState> state(new DesiredState());
+    state->m_version = version;
+    state->m_routeCount = routes.size();
+    for (auto& it : routes)
+        state->m_routes[hostKey(it.host)].push_back(std::move(it));
+    for (auto& it : state->m_routes)
+        std::stable_sort(it.second.begin(), it.second.end(),
+            [](const auto& a, const auto& b) { return a.prefix.size() > b.prefix.size(); });
+    state->m_services = std::move(services);
+    state->m_limits = limits;
+    return state;
+}
+
+const RouteRule* DesiredState::match(std::string_view host, std::string_view path) const
+{
+    auto routes = m_routes.find(hostKey(host));
+    if (routes == m_routes.end())
+        return nullptr;
+    for (const auto& it : routes->second) {
+        if (path.starts_with(it.prefix))
+            return &it;
+    }
+    return nullptr;
+}
+
+const ServiceRule* DesiredState::service(const ServiceName& name) const
+{
+    auto it = m_services.find(name);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+const RoutePart& PartDealer::next(const RouteRule& route)
+{
+    if (route.parts.size() == 1)
+        return route.parts.front();
+    auto& credit = m_credit[route.name];
+    long total = 0;
+    const RoutePart* best = nullptr;
+    for (const auto& it : route.parts) {
+        total += it.weight;
+        credit[it.service] += it.weight;
+        if (it.weight > 0 && (!best || credit[it.service] > credit[best->service]))
+            best = &it;
+    }
+    if (!best)
+        return route.parts.front();
+    credit[best->service] -= total;
+    return *best;
+}
+
+} // namespace acaciagauge
--- /dev/null
+++ b/src/core/ownership/key_ranges.cpp
@@ -0,0 +1,56 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace acaciagauge {
+
+using Json = nlohmann::json;
+
+std::string encodeOwnerChunk(const OwnerChunk& chunk)
+{
+    Json owners = Json::array();
+    for (const auto& it : chunk.owners)
+        owners.push_back({ it.range.from, it.range.to, it.owner.id, it.owner.startedMs });
+    return Json { { "epoch", chunk.epoch }, { "owners", std::move(owners) } }.dump();
+}
+
+Result<OwnerChunk> decodeOwnerChunk(std::uint32_t number, std::string_view text)
+{
+    try {
+        auto document = Json::parse(text);
+        OwnerChunk chunk;
+        chunk.epoch = document.at("epoch").get<Epoch>();
+        KeyNumber next = number * keysPerChunk;
+        auto last = next + keysPerChunk - 1;
+        for (const auto& it : document.at("owners")) {
+            RangeOwner owner;
+            owner.range = { it.at(0).get<KeyNumber>(), it.at(1).get<KeyNumber>() };
+            owner.owner = { it.at(2).get<ServerId>(), it.at(3).get<std::int64_t>() };
+            if (owner.range.from < next || owner.range.to < owner.range.from || owner.range.to > last)
+                return failure(
+                    ResultCode::malformedRequest, "range at " + std::to_string(owner.range.from) + " is out of order");
+            next = owner.range.to + 1;
+            chunk.owners.push_back(std::move(owner));
+        }
+        return chunk;
+    } catch (const Json::exception& error) {
+        return failure(ResultCode::malformedRequest, error.what());
+    }
+}
+
+const RangeOwner* KeyMap::find(const ServiceName& service, KeyNumber key) const
+{
+    auto chunk = m_chunks.find(ChunkId { service, key / keysPerChunk });
+    if (chunk == m_chunks.end())
+        return nullptr;
+    const auto& owners = chunk->second.owners;
+    auto it = std::upper_bound(
+        owners.begin(), owners.end(), key, [](KeyNumber k, const RangeOwner& owner) { return k < owner.range.from; });
+    if (it == owners.begin())
+        return nullptr;
+    --it;
+    return it->range.contains(key) ? &*it : nullptr;
+}
+
+} // namespace acaciagauge
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -66,7 +66,8 @@
 
 bool Admin::isAuthorized(const net::Request& request) const
 {
-    return net::headerOf(request, "Authorization") == "Bearer " + m_node.settings().adminToken;
+    const auto& token = m_node.settings().adminToken;
+    return token != "disabled" && net::headerOf(request, "Authorization") == "Bearer " + token;
 }
 
 awaitable<Response> Admin::handle(net::Request request)
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,6 +1,9 @@
 #include "daemon/log.hpp"
 
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -45,6 +48,42 @@
             return "peerUnreachable";
         case LogEvent::rpcFailed:
             return "rpcFailed";
+        case LogEvent::settingsReloaded:
+            return "settingsReloaded";
+        case LogEvent::memberRegistered:
+            return "memberRegistered";
+        case LogEvent::controllerWon:
+            return "controllerWon";
+        case LogEvent::controllerLost:
+            return "controllerLost";
+        case LogEvent::keyDecision:
+            return "keyDecision";
+        case LogEvent::loadUnreported:
+            return "loadUnreported";
+        case LogEvent::desiredStateInForce:
+            return "desiredStateInForce";
+        case LogEvent::documentSkipped:
+            return "documentSkipped";
+        case LogEvent::serverListed:
+            return "serverListed";
+        case LogEvent::serverLeaving:
+            return "serverLeaving";
+        case LogEvent::serverGone:
+            return "serverGone";
+        case LogEvent::storeRelayed:
+            return "storeRelayed";
+        case LogEvent::storeCallFailed:
+            return "storeCallFailed";
+        case LogEvent::requestDone:
+            return "requestDone";
+        case LogEvent::requestRefused:
+            return "requestRefused";
+        case LogEvent::requestFailed:
+            return "requestFailed";
+        case LogEvent::requestRetried:
+            return "requestRetried";
+        case LogEvent::linesDropped:
+            return "linesDropped";
         }
         return "unknown";
     }
@@ -70,30 +109,77 @@
         return name;
     }
 
+    /// Lines that wait to be written.
+    constexpr std::size_t queuedLines = 1024;
+
+    /// Lines a second of one event: enough for an instance's usual share of requests, bounded under load.
+    constexpr std::uint32_t linesPerSecond = 100;
+
+    /// Counts the lines of each event within the present second.
+    class LineBudget {
+    public:
+        /// Returns false if the line is to be dropped; `dropped` is set at most once a second, to report it.
+        bool take(LogEvent event, std::uint32_t& dropped)
+        {
+            std::lock_guard lock(m_mutex);
+            auto second
+                = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch());
+            if (second != m_second) {
+                m_second = second;
+                m_lines.clear();
+                std::swap(dropped, m_dropped);
+            }
+            bool isWithin = ++m_lines[event] <= linesPerSecond;
+            m_dropped += isWithin ? 0 : 1;
+            return isWithin;
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::chrono::seconds m_second { 0 };
+        std::map<LogEvent, std::uint32_t> m_lines;
+        std::uint32_t m_dropped = 0;
+    };
+
+    void write(LogLevel level, LogEvent event, std::initializer_list<LogField> fields)
+    {
+        std::string line = "\"instance\":" + nlohmann::json(instanceName()).dump() + ",\"event\":"
+            + std::to_string(static_cast<int>(event)) + ",\"name\":\"" + std::string(nameOf(event)) + "\"";
+        for (const auto& it : fields)
+            line += "," + nlohmann::json(it.first).dump() + ":"
+                + nlohmann::json(it.second).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        spdlog::default_logger_raw()->log(levelOf(level), line);
+    }
+
 } // namespace
 
 void startLog(const std::string& instance, const std::string& level)
 {
     instanceName() = instance;
-    auto logger = spdlog::stderr_logger_mt("acaciagauge");
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("acaciagauge");
     logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%f%z\",\"level\":\"%l\",%v}");
     logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
-    spdlog::flush_every(std::chrono::seconds(1));
+}
+
+void stopLog()
+{
+    spdlog::shutdown();
 }
 
 void logEvent(LogLevel level, LogEvent event, std::initializer_list<LogField> fields)
 {
-    auto spdLevel = levelOf(level);
-    if (!spdlog::default_logger_raw()->should_log(spdLevel))
+    auto* logger = spdlog::default_logger_raw();
+    if (!logger || !logger->should_log(levelOf(level)))
         return;
-    std::string line = "\"instance\":" + nlohmann::json(instanceName()).dump()
-        + ",\"event\":" + std::to_string(static_cast<int>(event)) + ",\"name\":\"" + std::string(nameOf(event)) + "\"";
-    for (const auto& it : fields)
-        line += "," + nlohmann::json(it.first).dump() + ":"
-            + nlohmann::json(it.second).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    spdlog::log(spdLevel, line);
+    static LineBudget budget;
+    std::uint32_t dropped = 0;
+    bool isWithin = budget.take(event, dropped);
+    if (dropped > 0)
+        write(LogLevel::warn, LogEvent::linesDropped, { { "lines", std::to_string(dropped) } });
+    if (isWithin)
+        write(level, event, fields);
 }
 
 } // namespace acaciagauge::daemon
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -26,6 +26,24 @@
     requestUnknownOutcome = 401,
     peerUnreachable = 501,
     rpcFailed = 502,
+    settingsReloaded = 5,
+    memberRegistered = 106,
+    controllerWon = 107,
+    controllerLost = 108,
+    keyDecision = 109,
+    loadUnreported = 110,
+    desiredStateInForce = 206,
+    documentSkipped = 207,
+    serverListed = 208,
+    serverLeaving = 209,
+    serverGone = 210,
+    storeRelayed = 303,
+    storeCallFailed = 304,
+    requestDone = 402,
+    requestRefused = 403,
+    requestFailed = 404,
+    requestRetried = 405,
+    linesDropped = 901,
 };
 
 enum class LogLevel {
@@ -38,11 +56,18 @@
 /// @brief A field of a log event.
 using LogField = std::pair<std::string_view, std::string>;
 
-/// @brief Starts logging to standard error.
+/// @brief Starts logging to standard output.
+///
+/// Lines go through a bounded queue to a thread that writes them: a full queue loses its oldest lines and never blocks.
 /// @param level debug, info, warn or error
 void startLog(const std::string& instance, const std::string& level);
 
+/// @brief Writes what is queued and ends the writing thread.
+void stopLog();
+
 /// @brief Logs an event as one line of JSON. Thread-safe.
+///
+/// Each event has a budget of lines a second; lines beyond it are dropped and counted in a line of event 901.
 void logEvent(LogLevel level, LogEvent event, std::initializer_list<LogField> fields = {});
 
 } // namespace acaciagauge::daemon
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -21,6 +21,7 @@
 
     constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
     constexpr auto controlTimeout = 2 * kj::SECONDS;
+    constexpr auto changesTimeout = 500 * kj::MILLISECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
     std::string textOf(const kj::Exception& exception)
@@ -89,6 +90,21 @@
             return kj::READY_NOW;
         }
 
+        kj::Promise<void> reportLoad(ReportLoadContext context) override
+        {
+            m_loop.hooks.onLoad(fromWire(context.getParams().getLoads()));
+            return kj::READY_NOW;
+        }
+
+        kj::Promise<void> changesSince(ChangesSinceContext context) override
+        {
+            auto revision = context.getParams().getRevision();
+            auto answer = m_loop.awaitFromOutside<StoreDelta>(
+                [&](std::function<void(StoreDelta)> done) { m_loop.hooks.onChangesSince(revision, std::move(done)); });
+            return answer.then(
+                [context](StoreDelta delta) mutable { toWire(delta, context.getResults().initDelta()); });
+        }
+
     private:
         Loop& m_loop;
     };
@@ -278,6 +294,49 @@
         tasks->add(sent.catch_([this, address](kj::Exception&& exception) { reachOf(address, exception); }));
     }
 
+    void sendLoad(
+        const std::string& address, const std::map<ServiceName, KeyCounts>& counts, std::function<void(RpcReach)> done)
+    {
+        auto sent = connect(address).then([this, counts, done](std::shared_ptr<Connection> connection) {
+            auto request = connection->peer.reportLoadRequest();
+            toWire(counts, request.initLoads(static_cast<unsigned>(counts.size())));
+            auto answered = io->provider->getTimer().timeoutAfter(controlTimeout, request.send().ignoreResult());
+            return answered
+                .then([done] { done(RpcReach::reached); },
+                    [this, connection, done](kj::Exception&&) {
+                        breakConnection(connection);
+                        done(RpcReach::unreachable);
+                    })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(
+            sent.catch_([this, address, done](kj::Exception&& exception) { done(reachOf(address, exception)); }));
+    }
+
+    void sendChangesSince(
+        const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done)
+    {
+        auto sent = connect(address).then([this, revision, done](std::shared_ptr<Connection> connection) {
+            auto call = connection->peer.changesSinceRequest();
+            call.setRevision(revision);
+            return io->provider->getTimer()
+                .timeoutAfter(changesTimeout, call.send())
+                .then(
+                    [done](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
+                        done(fromWire(results.getDelta()));
+                    },
+                    [this, connection, done](kj::Exception&&) {
+                        breakConnection(connection);
+                        done(std::nullopt);
+                    })
+                .attach(kj::cp(connection));
+        });
+        tasks->add(sent.catch_([this, address, done](kj::Exception&& exception) {
+            reachOf(address, exception);
+            done(std::nullopt);
+        }));
+    }
+
     Hooks hooks;
     int wakeFd = -1;
     std::uint64_t wakeCount = 0;
@@ -352,4 +411,18 @@
     loop.post([&loop, address, shared] { loop.sendAnnounce(address, shared); });
 }
 
+void RpcNode::reportLoad(
+    const std::string& address, std::map<ServiceName, KeyCounts> counts, std::function<void(RpcReach)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, counts = std::move(counts), done] { loop.sendLoad(address, counts, done); });
+}
+
+void RpcNode::changesSince(
+    const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, revision, done] { loop.sendChangesSince(address, revision, done); });
+}
+
 } // namespace acaciagauge::daemon
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace acaciagauge::daemon {
 
@@ -18,6 +19,8 @@
         std::function<void(ForwardRequest, std::function<void(ForwardReply)>)> onForward;
         std::function<void(Digest, std::function<void(News)>)> onExchange;
         std::function<void(News)> onAnnounce;
+        std::function<void(std::map<ServiceName, KeyCounts>)> onLoad;
+        std::function<void(Revision, std::function<void(StoreDelta)>)> onChangesSince;
     };
 
     /// @brief Starts the thread and listens.
@@ -40,6 +43,14 @@
     /// @brief Tells a peer news.
     void announce(const std::string& address, News news);
 
+    /// @brief Tells a peer which keys were asked for; `done` is told whether the peer was reached.
+    void reportLoad(
+        const std::string& address, std::map<ServiceName, KeyCounts> counts, std::function<void(RpcReach)> done);
+
+    /// @brief Asks a peer for what its copy of the store has beyond a revision; nothing if it does not answer.
+    void changesSince(
+        const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done);
+
 private:
     struct Loop;
     RpcNode();
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -134,6 +134,31 @@
         std::map<std::string, std::string> m_values;
     };
 
+    std::vector<std::string> splitList(const std::string& text)
+    {
+        std::vector<std::string> parts;
+        std::istringstream in(text);
+        for (std::string part; std::getline(in, part, ',');) {
+            if (!part.empty())
+                parts.push_back(part);
+        }
+        return parts;
+    }
+
+    /// Returns what is wrong with the values that are not whole numbers.
+    std::optional<std::string> problemOf(const Values& values)
+    {
+        const auto& dialect = values.text("platform.dialect");
+        if (dialect != "own" && dialect != "users")
+            return "platform.dialect: must be own or users, found \"" + dialect + "\"";
+        const auto& ratio = values.text("retry.ratio");
+        char* end = nullptr;
+        auto number = std::strtod(ratio.c_str(), &end);
+        if (*end != 0 || !(number >= 0 && number <= 10))
+            return "retry.ratio: must be a number from 0 to 10, found \"" + ratio + "\"";
+        return std::nullopt;
+    }
+
     Settings fromValues(const Values& values)
     {
         Settings settings;
@@ -160,6 +185,16 @@
         timing.shortAuthority = values.duration("ownership.short_authority_ms");
         timing.longAuthority = values.duration("ownership.long_authority_ms");
         timing.maxConcurrentMoves = static_cast<std::size_t>(values.number("ownership.max_moves"));
+        settings.onPlatform = values.text("platform.dialect") == "users";
+        settings.readinessAddress = values.text("listen.readiness");
+        if (values.text("relay.seeds") != "none")
+            settings.seeds = splitList(values.text("relay.seeds"));
+        settings.hold = values.duration("ownership.hold_ms");
+        settings.leavingUse = values.duration("leaving.server_use_ms");
+        settings.graceTime = values.duration("leaving.grace_ms");
+        settings.retries.ratio = std::strtod(values.text("retry.ratio").c_str(), nullptr);
+        settings.retries.allowance = static_cast<double>(values.number("retry.allowance"));
+        settings.retries.window = values.duration("retry.window_ms");
         return settings;
     }
 
@@ -174,13 +209,22 @@
         { "listen", "admin", "", 0, 0, "IP:PORT of the administration API, metrics and health." },
         { "listen", "rpc", "", 0, 0, "IP:PORT for the other instances." },
         { "platform", "address", "", 0, 0, "IP:PORT of the platform's key-value service." },
-        { "admin", "token", "", 0, 0, "Bearer token that orders to the administration API must carry." },
+        { "platform", "dialect", "own", 0, 0, "What the service speaks: own, or users for the users' platform." },
+        { "listen", "readiness", "none", 0, 0, "IP:PORT where the balancer asks for readiness; dialect users." },
+        { "admin", "token", "disabled", 0, 0,
+            "Bearer token that orders to the administration API must carry; disabled: all are refused." },
         { "limits", "default_deadline_ms", "2000", 1, 600000, "Deadline of requests that bring none, in ms." },
         { "limits", "max_waiting", "256", 1, 100000, "Requests that may wait for one server." },
         { "limits", "max_connections", "4096", 1, 1000000, "Callers' connections." },
         { "limits", "cold_start_ms", "2000", 0, 600000, "Time in which a cold server reaches all its slots, in ms." },
         { "limits", "leave_grace_ms", "1000", 0, 60000, "Time between announcing to leave and closing, in ms." },
         { "relay", "interval_ms", "200", 10, 10000, "Interval of digest exchanges with a random peer, in ms." },
+        { "relay", "seeds", "none", 0, 0, "IP:PORT of other instances, separated by commas; dialect users." },
+        { "retry", "ratio", "0.2", 0, 0, "Further sends to a service for each of its requests, of all instances." },
+        { "retry", "allowance", "50", 0, 1000000, "Further sends in a window on top, of all instances together." },
+        { "retry", "window_ms", "10000", 100, 600000, "Window of the retry budget, in ms." },
+        { "leaving", "server_use_ms", "1200", 0, 600000, "A leaving owner gets requests this long, in ms." },
+        { "leaving", "grace_ms", "6000", 500, 600000, "Time from SIGTERM to the end of this process, in ms." },
         { "trace", "percent", "1", 0, 100,
             "Share of requests with spans, in percent; a caller's sampled flag counts too." },
         { "log", "level", "info", 0, 0, "Least level of events that are logged: debug, info, warn or error." },
@@ -194,6 +238,7 @@
             "Renewals by a member that hears none of its set, in ms." },
         { "ownership", "long_authority_ms", "600000", 100, 86400000,
             "Renewals by a member that hears some of its set, in ms." },
+        { "ownership", "hold_ms", "10000", 1000, 600000, "Duration of a grant of keys; dialect users; in ms." },
         { "ownership", "max_moves", "64", 1, 100000, "Planned moves in progress at once." },
     };
     return specs;
@@ -211,6 +256,8 @@
     auto values = Values::create(pass);
     if (!values)
         return tl::make_unexpected(values.error());
+    if (auto problem = problemOf(*values))
+        return failure(ResultCode::invalidSetting, file + ": " + *problem);
     return fromValues(*values);
 }
 
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -35,6 +35,17 @@
     std::size_t tracePercent = 1;
     std::string logLevel = "info";
     OwnershipTiming ownership;
+
+    /// @name On the users' platform
+    /// @{
+    bool onPlatform = false; ///< The place to run on is the users' platform, not the own dialect's service.
+    std::string readinessAddress;
+    std::vector<std::string> seeds; ///< IP:PORT of other instances, before any is known.
+    std::chrono::milliseconds hold { 10000 };
+    std::chrono::milliseconds leavingUse { 1200 };
+    std::chrono::milliseconds graceTime { 6000 };
+    RetryShare::Options retries;
+    /// @}
 };
 
 /// @brief Returns the description of every setting.
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -295,4 +295,61 @@
     return news;
 }
 
+void toWire(const std::map<ServiceName, KeyCounts>& loads, capnp::List<wire::ServiceLoad>::Builder out)
+{
+    unsigned n = 0;
+    for (const auto& it : loads) {
+        auto load = out[n++];
+        load.setService(it.first);
+        auto counts = load.initCounts(static_cast<unsigned>(it.second.size()));
+        unsigned k = 0;
+        for (const auto& count : it.second) {
+            counts[k].setKey(count.first);
+            counts[k++].setRequests(count.second);
+        }
+    }
+}
+
+std::map<ServiceName, KeyCounts> fromWire(capnp::List<wire::ServiceLoad>::Reader in)
+{
+    std::map<ServiceName, KeyCounts> loads;
+    for (auto it : in) {
+        auto& counts = loads[it.getService()];
+        for (auto count : it.getCounts()) {
+            if (count.getKey() <= lastKey)
+                counts[count.getKey()] += count.getRequests();
+        }
+    }
+    return loads;
+}
+
+void toWire(const StoreDelta& delta, wire::StoreDelta::Builder out)
+{
+    out.setAt(delta.at);
+    out.setIsSnapshot(delta.isSnapshot);
+    auto changes = out.initChanges(static_cast<unsigned>(delta.changes.size()));
+    unsigned n = 0;
+    for (const auto& it : delta.changes) {
+        auto change = changes[n++];
+        change.setKey(it.item.key);
+        change.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(it.item.value.data()), it.item.value.size()));
+        change.setRevision(it.item.revision);
+        change.setRemoved(it.removed);
+    }
+}
+
+StoreDelta fromWire(wire::StoreDelta::Reader in)
+{
+    StoreDelta delta;
+    delta.at = in.getAt();
+    delta.isSnapshot = in.getIsSnapshot();
+    for (auto it : in.getChanges()) {
+        auto value = it.getValue();
+        StoreItem item { it.getKey(), std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
+            it.getRevision() };
+        delta.changes.push_back({ std::move(item), it.getRemoved() });
+    }
+    return delta;
+}
+
 } // namespace acaciagauge::daemon
--- /dev/null
+++ b/src/entry/catalog.cpp
@@ -0,0 +1,153 @@
+#include "entry/catalog.hpp"
+
+#include "daemon/log.hpp"
+
+namespace acaciagauge::entry {
+
+using daemon::logEvent;
+using daemon::LogEvent;
+using daemon::LogLevel;
+
+Catalog::Catalog(boost::asio::io_context& context, ports::DocumentsPort documents)
+    : m_documents(std::move(documents))
+    , m_mirror(StoreMirror::create({}))
+    , m_servers(ServerDirectory::create({}))
+    , m_keys(KeyMap::create())
+    , m_changed(context)
+{
+}
+
+void Catalog::apply(StoreDelta delta, std::string_view source)
+{
+    m_source = source;
+    for (const auto& it : m_mirror.apply(std::move(delta)))
+        read(it);
+    m_changed.raise();
+}
+
+void Catalog::noteStore(bool isAvailable)
+{
+    if (isAvailable == m_isStoreAvailable)
+        return;
+    m_isStoreAvailable = isAvailable;
+    if (isAvailable)
+        m_servers.storeBack(monotonicNow());
+    else
+        m_servers.storeAway();
+    logEvent(isAvailable ? LogLevel::info : LogLevel::warn,
+        isAvailable ? LogEvent::storeAvailable : LogEvent::storeUnavailable,
+        { { "revision", std::to_string(m_mirror.at()) } });
+    m_changed.raise();
+}
+
+void Catalog::settle()
+{
+    if (m_servers.settle(monotonicNow()))
+        m_changed.raise();
+}
+
+void Catalog::read(const StoreChange& change)
+{
+    const auto& key = change.item.key;
+    if (key == m_documents.configurationKey)
+        readDesiredState(change);
+    else if (key.starts_with(m_documents.serversPrefix))
+        readServer(change, monotonicNow());
+    else if (key.starts_with(membersPrefix))
+        readMember(change);
+    else if (key == controllerKey)
+        readController(change);
+    else if (auto chunk = parseOwnersKey(key))
+        readOwners(*chunk, change);
+}
+
+void Catalog::skip(const StoreChange& change, const std::string& reason)
+{
+    logEvent(LogLevel::warn, LogEvent::documentSkipped,
+        { { "key", change.item.key }, { "revision", std::to_string(change.item.revision) }, { "reason", reason } });
+}
+
+void Catalog::readDesiredState(const StoreChange& change)
+{
+    if (change.removed)
+        return skip(change, "the desired state was removed; the last one stays in force");
+    auto state = m_documents.decodeDesiredState(change.item.value);
+    if (!state)
+        return skip(change, state.error().message);
+    if (m_desiredState && (*state)->version() < m_desiredState->version())
+        return skip(change, "version " + std::to_string((*state)->version()) + " is older than the one in force");
+    m_desiredState = *state;
+    logEvent(LogLevel::info, LogEvent::desiredStateInForce,
+        { { "version", std::to_string(m_desiredState->version()) },
+            { "revision", std::to_string(change.item.revision) },
+            { "routes", std::to_string(m_desiredState->routeCount()) }, { "source", m_source } });
+}
+
+void Catalog::readServer(const StoreChange& change, TimePoint now)
+{
+    auto id = change.item.key.substr(m_documents.serversPrefix.size());
+    auto revision = std::to_string(change.item.revision);
+    if (change.removed) {
+        m_servers.remove(id, now);
+        logEvent(LogLevel::info, LogEvent::serverGone,
+            { { "server", id }, { "revision", revision }, { "source", m_source } });
+        return;
+    }
+    auto entry = m_documents.decodeServer(id, change.item.value);
+    if (!entry)
+        return skip(change, entry.error().message);
+    const auto* known = m_servers.find(id);
+    bool isNews = !known || known->entry.run != entry->run || known->entry.draining != entry->draining
+        || known->standing == ServerStanding::gone;
+    m_servers.update(*entry, now);
+    if (isNews)
+        logEvent(LogLevel::info, entry->draining ? LogEvent::serverLeaving : LogEvent::serverListed,
+            { { "server", id }, { "service", entry->service }, { "domain", entry->domain },
+                { "started", std::to_string(entry->run.startedMs) }, { "revision", revision },
+                { "source", m_source } });
+}
+
+void Catalog::readMember(const StoreChange& change)
+{
+    auto id = change.item.key.substr(std::string_view(membersPrefix).size());
+    m_members.erase(id);
+    if (change.removed)
+        return;
+    auto member = decodeMember(change.item.value);
+    if (!member)
+        return skip(change, member.error().message);
+    m_members[id] = *member;
+}
+
+void Catalog::readController(const StoreChange& change)
+{
+    m_controller.reset();
+    if (change.removed)
+        return;
+    auto controller = decodeController(change.item.value);
+    if (!controller)
+        return skip(change, controller.error().message);
+    m_controller = *controller;
+}
+
+void Catalog::readOwners(const ChunkId& id, const StoreChange& change)
+{
+    if (change.removed)
+        return m_keys.erase(id);
+    auto chunk = decodeOwnerChunk(id.number, change.item.value);
+    if (!chunk)
+        return skip(change, chunk.error().message);
+    m_keys.set(id, std::move(*chunk));
+}
+
+std::vector<const KnownServer*> Catalog::readyServers(const ServiceName& service) const
+{
+    std::vector<const KnownServer*> ready;
+    for (const auto& it : m_servers.servers()) {
+        if (it.second.entry.service == service && it.second.standing == ServerStanding::ready)
+            ready.push_back(&it.second);
+    }
+    return ready;
+}
+
+} // namespace acaciagauge::entry
--- /dev/null
+++ b/src/entry/controller_duty.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "daemon/metrics.hpp"
+#include "entry/catalog.hpp"
+#include "entry/keeper_actor.hpp"
+#include "entry/store_link.hpp"
+
+namespace acaciagauge::entry {
+
+/// @brief A right that ends at a moment of the clock that goes on while the machine is suspended.
+class Authority {
+public:
+    using Clock = std::chrono::nanoseconds; ///< Of CLOCK_BOOTTIME.
+
+    /// @brief Reads the clock.
+    static Clock now();
+
+    void extendTo(Clock until) { m_until = std::max(m_until, until); }
+    void drop() { m_until = Clock(0); }
+    [[nodiscard]] bool holds() const { return now() < m_until; }
+    [[nodiscard]] Clock until() const { return m_until; }
+
+private:
+    Clock m_until { 0 };
+};
+
+/// @brief Takes part in choosing the controller, and is it while chosen: keeps the keys' owners through a KeyKeeper.
+class ControllerDuty {
+public:
+    struct Hooks {
+        std::function<daemon::RpcNode&()> rpc;
+        daemon::Metrics* metrics = nullptr;
+    };
+
+    ControllerDuty(boost::asio::io_context& context, MemberRecord self, ports::StorePort store,
+        ports::KeyOrdersPort orders, Catalog& catalog, StoreLink& link, KeyKeeper::Options options, Hooks hooks);
+
+    void start();
+
+    /// @brief Gives the duty up, so that another instance can take it over at once.
+    boost::asio::awaitable<void> leave();
+
+    /// @brief Counts a request for a key; the controller is told.
+    void countKey(const ServiceName& service, KeyNumber key) { ++m_counts[service][key]; }
+
+    /// @brief Takes what another instance counted.
+    void takeCounts(std::map<ServiceName, KeyCounts> counts);
+
+    [[nodiscard]] bool isController() const { return m_actor != nullptr; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> waitForVacancy();
+    boost::asio::awaitable<bool> campaign();
+    boost::asio::awaitable<bool> confirm(ports::StoreWriteReply reply, const ControllerRecord& wanted);
+    boost::asio::awaitable<void> rule();
+    boost::asio::awaitable<void> keepLease();
+    boost::asio::awaitable<void> reportCounts();
+    boost::asio::awaitable<void> sendGrant(SendKeyGrant order);
+    boost::asio::awaitable<void> sendRelease(SendKeyRelease order);
+    boost::asio::awaitable<void> writeChunks(WriteOwnerChunks write);
+    boost::asio::awaitable<void> checkAuthority();
+    void startKeeper();
+    void tellCatalog();
+    void perform(const KeyAction& action);
+    void depose(const std::string& reason);
+    void tell(KeyEvent event);
+    std::function<bool()> authorityCheck();
+    std::chrono::microseconds campaignDelay();
+
+    boost::asio::io_context& m_context;
+    MemberRecord m_self;
+    ports::StorePort m_store;
+    ports::KeyOrdersPort m_orders;
+    Catalog& m_catalog;
+    StoreLink& m_link;
+    KeyKeeper::Options m_options;
+    Hooks m_hooks;
+    std::mt19937_64 m_random { std::random_device {}() };
+    Authority m_authority;
+    std::uint64_t m_lease = 0;
+    Epoch m_epoch = 0;
+    std::uint64_t m_reign = 0; ///< Counts this instance's epochs; an answer of an earlier one is dropped.
+    Revision m_controllerRevision = 0;
+    std::map<ChunkId, Revision> m_chunkRevisions;
+    std::shared_ptr<KeeperActor> m_actor;
+    std::map<ServiceName, KeyCounts> m_counts;
+    Signal m_reignChanged;
+    bool m_leaving = false;
+};
+
+} // namespace acaciagauge::entry
--- /dev/null
+++ b/src/entry/keeper_actor.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace acaciagauge::entry {
+
+/// @brief Runs a KeyKeeper in a CAF actor, on a thread group of its own.
+///
+/// Events go in as messages; actions come out through the hook, on the actor's thread.
+class KeeperActor {
+public:
+    using Hook = std::function<void(std::vector<KeyAction>, std::map<std::string, std::size_t> counts)>;
+
+    static std::unique_ptr<KeeperActor> create(KeyKeeper keeper, Hook hook);
+    ~KeeperActor();
+    KeeperActor(const KeeperActor&) = delete;
+    KeeperActor& operator=(const KeeperActor&) = delete;
+
+    /// @brief Sends an event to the actor. Thread-safe.
+    void tell(KeyEvent event);
+
+private:
+    struct System;
+    explicit KeeperActor(std::unique_ptr<System> system);
+    std::unique_ptr<System> m_system;
+};
+
+} // namespace acaciagauge::entry
--- /dev/null
+++ b/src/entry/store_keys.cpp
@@ -0,0 +1,81 @@
+#include "entry/store_keys.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace acaciagauge::entry {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    std::optional<std::uint64_t> parseNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        bool isWhole = parsed.ec == std::errc {} && parsed.ptr == text.data() + text.size();
+        return isWhole ? std::optional(number) : std::nullopt;
+    }
+
+} // namespace
+
+std::string encodeMember(const MemberRecord& member)
+{
+    return Json { { "id", member.id }, { "domain", member.domain }, { "rpc", member.rpcAddress } }.dump();
+}
+
+Result<MemberRecord> decodeMember(std::string_view text)
+{
+    try {
+        auto document = Json::parse(text);
+        return MemberRecord { document.at("id").get<InstanceId>(), document.at("domain").get<DomainId>(),
+            document.at("rpc").get<std::string>() };
+    } catch (const Json::exception& error) {
+        return failure(ResultCode::malformedRequest, error.what());
+    }
+}
+
+std::string encodeController(const ControllerRecord& controller)
+{
+    return Json {
+        { "id", controller.id }, { "epoch", controller.epoch }, { "rpc", controller.rpcAddress },
+        { "token", controller.token }
+    }.dump();
+}
+
+Result<ControllerRecord> decodeController(std::string_view text)
+{
+    try {
+        auto document = Json::parse(text);
+        return ControllerRecord { document.at("id").get<InstanceId>(), document.at("epoch").get<Epoch>(),
+            document.at("rpc").get<std::string>(), document.at("token").get<std::string>() };
+    } catch (const Json::exception& error) {
+        return failure(ResultCode::malformedRequest, error.what());
+    }
+}
+
+Epoch decodeEpoch(std::string_view text)
+{
+    return parseNumber(text).value_or(0);
+}
+
+std::string ownersKey(const ChunkId& id)
+{
+    return ownersPrefix + id.service + "/" + std::to_string(id.number);
+}
+
+std::optional<ChunkId> parseOwnersKey(std::string_view key)
+{
+    if (!key.starts_with(ownersPrefix))
+        return std::nullopt;
+    key.remove_prefix(std::string_view(ownersPrefix).size());
+    auto slash = key.rfind('/');
+    if (slash == std::string_view::npos)
+        return std::nullopt;
+    auto number = parseNumber(key.substr(slash + 1));
+    if (!number || *number > lastKey / keysPerChunk)
+        return std::nullopt;
+    return ChunkId { std::string(key.substr(0, slash)), static_cast<std::uint32_t>(*number) };
+}
+
+} // namespace acaciagauge::entry
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,23 @@
 
 using asio::ip::tcp;
 
+namespace {
+
+    /// Answers to earlier requests that are skipped on one connection before it is given up.
+    constexpr int maxStrayAnswers = 3;
+
+    // "timeout=5" within the value of Keep-Alive, in seconds.
+    std::chrono::milliseconds keepAliveLimit(const Response& response)
+    {
+        auto value = headerOf(response, "Keep-Alive");
+        auto at = value.find("timeout=");
+        if (at == std::string::npos)
+            return std::chrono::milliseconds(0);
+        return std::chrono::seconds(std::atoi(value.c_str() + at + 8));
+    }
+
+} // namespace
+
 HttpClient::HttpClient(asio::io_context& context, Options options)
     : m_context(context)
     , m_options(options)
@@ -22,29 +39,50 @@
 }
 
 // An idle connection with anything to read was closed by the server or carries a late answer.
-bool HttpClient::isStillOpen(Connection& connection)
+bool HttpClient::isUsable(Connection& connection, std::chrono::milliseconds maxIdle) const
 {
+    auto limit = maxIdle;
+    if (connection.serverLimit.count() > 0)
+        limit = std::min(limit, connection.serverLimit - m_options.idleMargin);
+    if (Clock::now() - connection.idleSince > limit)
+        return false;
     char byte = 0;
     auto n = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const std::string& address)
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(
+    const std::string& address, std::chrono::milliseconds maxIdle)
 {
     auto it = m_idle.find(address);
     while (it != m_idle.end() && !it->second.empty()) {
         auto connection = std::move(it->second.back());
         it->second.pop_back();
-        if (isStillOpen(*connection))
+        if (isUsable(*connection, maxIdle))
             return connection;
     }
     return nullptr;
 }
 
+void HttpClient::keep(const std::string& address, std::unique_ptr<Connection> connection, const Response& response)
+{
+    auto& idle = m_idle[address];
+    bool isReusable = response.keep_alive() && connection->buffer.size() == 0;
+    if (!isReusable || idle.size() >= m_options.maxIdlePerAddress)
+        return;
+    auto limit = keepAliveLimit(response);
+    if (limit.count() > 0)
+        connection->serverLimit = limit;
+    connection->wasUsed = true;
+    connection->idleSince = Clock::now();
+    idle.push_back(std::move(connection));
+}
+
 asio::awaitable<std::unique_ptr<HttpClient::Connection>> HttpClient::connect(
-    std::string address, std::chrono::steady_clock::time_point deadline, Exchange& outcome)
+    std::string address, ExchangeOptions options, Clock::time_point deadline, Exchange& outcome)
 {
-    if (auto idle = takeIdle(address))
+    auto maxIdle = options.maxIdle.count() > 0 ? options.maxIdle : m_options.maxIdle;
+    if (auto idle = takeIdle(address, maxIdle))
         co_return idle;
     auto endpoint = parseEndpoint(address);
     if (!endpoint) {
@@ -53,6 +91,8 @@
     }
     auto connection = std::make_unique<Connection>(m_context);
     beast::error_code ec;
+    if (options.connectTimeout.count() > 0)
+        deadline = std::min(deadline, Clock::now() + options.connectTimeout);
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
@@ -64,41 +104,86 @@
     co_return connection;
 }
 
-asio::awaitable<Exchange> HttpClient::exchange(std::string address, Request request, std::chrono::microseconds timeout)
+asio::awaitable<beast::error_code> HttpClient::readAnswer(
+    Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome)
 {
-    auto self = shared_from_this();
-    auto deadline = std::chrono::steady_clock::now() + timeout;
-    Exchange outcome;
-    auto connection = co_await connect(address, deadline, outcome);
-    if (!connection)
-        co_return outcome;
     beast::error_code ec;
-    connection->stream.expires_at(deadline);
-    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, ec));
-    outcome.state = ExchangeState::broken;
-    if (!ec) {
+    for (int strays = 0; strays <= maxStrayAnswers; ++strays) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(maxHeaderBytes);
         parser.body_limit(m_options.bodyLimit);
         co_await http::async_read(
-            connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-        // An answer without a length ends with the connection, so a cut cannot be told from its end.
-        bool isWhole = !ec && !parser.need_eof();
-        if (isWhole) {
-            outcome.state = ExchangeState::answered;
-            outcome.response = parser.release();
+            connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return ec;
+        // Only an orderly end of the connection ends an answer without a length; a reset is an error above.
+        if (parser.need_eof() && !m_options.acceptUnframed) {
+            outcome.error = "the answer has no length";
+            co_return make_error_code(http::error::partial_message);
         }
+        outcome.response = parser.release();
+        bool isInterim = outcome.response.result_int() < 200;
+        bool isMine = idHeader.empty() || headerOf(outcome.response, idHeader) == id;
+        if (isMine && !isInterim)
+            co_return ec;
+        outcome.error = "the answer belongs to another request";
     }
-    if (outcome.state != ExchangeState::answered) {
-        outcome.error = ec ? ec.message() : "the answer has no length";
-        if (ec == beast::error::timeout)
-            outcome.state = ExchangeState::timedOut;
+    co_return make_error_code(http::error::unexpected_body);
+}
+
+asio::awaitable<void> HttpClient::carry(
+    Connection& connection, Request& request, const ExchangeOptions& options, Exchange& outcome)
+{
+    beast::error_code ec;
+    auto written
+        = co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    outcome.state = written > 0 ? ExchangeState::broken : ExchangeState::notSent;
+    auto id = options.idHeader.empty() ? std::string() : headerOf(request, options.idHeader);
+    if (!ec)
+        ec = co_await readAnswer(connection, options.idHeader, id, outcome);
+    if (!ec) {
+        outcome.state = ExchangeState::answered;
+        co_return;
+    }
+    if (outcome.error.empty())
+        outcome.error = ec.message();
+    if (ec == beast::error::timeout && outcome.state == ExchangeState::broken)
+        outcome.state = ExchangeState::timedOut;
+}
+
+asio::awaitable<Exchange> HttpClient::exchange(std::string address, Request request, std::chrono::microseconds timeout)
+{
+    ExchangeOptions options;
+    options.timeout = timeout;
+    co_return co_await exchange(std::move(address), std::move(request), std::move(options));
+}
+
+asio::awaitable<Exchange> HttpClient::exchange(std::string address, Request request, ExchangeOptions options)
+{
+    auto self = shared_from_this();
+    auto deadline = Clock::now() + options.timeout;
+    Exchange outcome;
+    auto connection = co_await connect(address, options, deadline, outcome);
+    if (!connection)
+        co_return outcome;
+    outcome.wasReused = connection->wasUsed;
+    bool isUnwanted = (options.cancellation && options.cancellation->isCancelled())
+        || (options.mayStillSend && !options.mayStillSend());
+    if (isUnwanted) {
+        outcome.error = "the request was withdrawn before it was sent";
         co_return outcome;
     }
-    auto& idle = m_idle[address];
-    bool reusable = outcome.response.keep_alive() && connection->buffer.size() == 0;
-    if (reusable && idle.size() < m_options.maxIdlePerAddress)
-        idle.push_back(std::move(connection));
+    std::size_t registered = 0;
+    if (options.cancellation) {
+        auto* stream = &connection->stream;
+        registered = options.cancellation->add([stream] { stream->close(); });
+    }
+    connection->stream.expires_at(deadline);
+    co_await carry(*connection, request, options, outcome);
+    if (options.cancellation)
+        options.cancellation->remove(registered);
+    if (outcome.state == ExchangeState::answered)
+        keep(address, std::move(connection), outcome.response);
     co_return outcome;
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "acaciagauge/acaciagauge.hpp"
+#include "net/cancellation.hpp"
 #include "net/http_types.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,6 +26,7 @@
     ExchangeState state = ExchangeState::notSent;
     Response response;
     std::string error;
+    bool wasReused = false; ///< The connection had carried an exchange before.
 };
 
 /// @brief Keeps connections to HTTP servers and carries one exchange at a time on each.
@@ -35,6 +37,18 @@
     struct Options {
         std::size_t maxIdlePerAddress = 16;
         std::uint64_t bodyLimit = maxBodyBytes;
+        std::chrono::milliseconds maxIdle { 8000 }; ///< Idle connections are not used after this time.
+        std::chrono::milliseconds idleMargin { 1000 }; ///< Nor this long before the server's own limit.
+        bool acceptUnframed = false; ///< Takes answers that end with their connection, if it ends in order.
+    };
+
+    struct ExchangeOptions {
+        std::chrono::microseconds timeout { 0 }; ///< For the whole exchange.
+        std::chrono::microseconds connectTimeout { 0 }; ///< 0: as the whole exchange.
+        std::function<bool()> mayStillSend; ///< Asked just before the first byte is written.
+        std::string idHeader; ///< If set: answers with another value of this header than the request's are skipped.
+        std::shared_ptr<Cancellation> cancellation; ///< Closes the connection.
+        std::chrono::milliseconds maxIdle { 0 }; ///< 0: as the client's options say.
     };
 
     static std::shared_ptr<HttpClient> create(asio::io_context& context, Options options);
@@ -44,10 +58,16 @@
     /// @param timeout for the whole exchange
     asio::awaitable<Exchange> exchange(std::string address, Request request, std::chrono::microseconds timeout);
 
+    /// @brief Sends a request and reads the answer.
+    /// @param address "IP:PORT"
+    asio::awaitable<Exchange> exchange(std::string address, Request request, ExchangeOptions options);
+
     /// @brief Closes idle connections to an address.
     void forget(const std::string& address) { m_idle.erase(address); }
 
 private:
+    using Clock = std::chrono::steady_clock;
+
     struct Connection {
         explicit Connection(asio::io_context& context)
             : stream(context)
@@ -55,14 +75,21 @@
         }
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
-        bool used = false;
+        bool wasUsed = false;
+        Clock::time_point idleSince;
+        std::chrono::milliseconds serverLimit { 0 }; ///< Idle time after which the server closes; 0: not stated.
     };
 
     HttpClient(asio::io_context& context, Options options);
     asio::awaitable<std::unique_ptr<Connection>> connect(
-        std::string address, std::chrono::steady_clock::time_point deadline, Exchange& outcome);
-    std::unique_ptr<Connection> takeIdle(const std::string& address);
-    static bool isStillOpen(Connection& connection);
+        std::string address, ExchangeOptions options, Clock::time_point deadline, Exchange& outcome);
+    asio::awaitable<void> carry(
+        Connection& connection, Request& request, const ExchangeOptions& options, Exchange& outcome);
+    asio::awaitable<beast::error_code> readAnswer(
+        Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome);
+    void keep(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
+    std::unique_ptr<Connection> takeIdle(const std::string& address, std::chrono::milliseconds maxIdle);
+    bool isUsable(Connection& connection, std::chrono::milliseconds maxIdle) const;
 
     asio::io_context& m_context;
     Options m_options;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,10 +1,11 @@
 #include "net/http_server.hpp"
 
+#include "net/http_session.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
 #include <charconv>
 
 namespace acaciagauge::net {
@@ -13,26 +14,8 @@
 
 namespace {
 
-    Response rejection(beast::error_code ec)
-    {
-        unsigned status = 400;
-        if (ec == http::error::body_limit)
-            status = 413;
-        if (ec == http::error::header_limit)
-            status = 431;
-        auto body = "{\"code\":501,\"name\":\"malformedRequest\",\"message\":\"" + ec.message() + "\"}";
-        auto response = makeResponse(status, body);
-        response.set("X-Acaciagauge-Outcome", "notRun");
-        response.set("X-Acaciagauge-Code", "501");
-        response.keep_alive(false);
-        return response;
-    }
-
-    bool isProtocolError(beast::error_code ec)
-    {
-        bool isClosed = ec == http::error::end_of_stream || ec == http::error::partial_message;
-        return !isClosed && ec.category() == make_error_code(http::error::bad_method).category();
-    }
+    /// Interval at which connections are checked against their time limits.
+    constexpr auto sweepInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -54,6 +37,7 @@
 HttpServer::HttpServer(asio::io_context& context, Options options)
     : m_options(std::move(options))
     , m_acceptor(context)
+    , m_sweep(context)
 {
 }
 
@@ -92,8 +76,29 @@
     m_stopped = true;
     boost::system::error_code ec;
     m_acceptor.close(ec);
-    for (auto* it : m_idle)
-        it->socket().shutdown(tcp::socket::shutdown_receive, ec);
+    for (auto& it : sessions())
+        it->closeIfIdle();
+    m_sweep.cancel();
+}
+
+std::vector<std::shared_ptr<HttpSession>> HttpServer::sessions() const
+{
+    std::vector<std::shared_ptr<HttpSession>> sessions;
+    for (auto* it : m_sessions) {
+        if (auto session = it->weak_from_this().lock())
+            sessions.push_back(std::move(session));
+    }
+    return sessions;
+}
+
+ServerLimits HttpServer::limits() const
+{
+    if (m_options.limits)
+        return m_options.limits();
+    ServerLimits limits;
+    limits.bodyBytes = m_options.bodyLimit;
+    limits.idleTimeout = m_options.idleTimeout;
+    return limits;
 }
 
 asio::awaitable<void> HttpServer::acceptLoop()
@@ -102,56 +107,29 @@
     while (!m_stopped) {
         boost::system::error_code ec;
         auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (ec)
-            continue;
-        if (m_connections >= m_options.maxConnections)
+        if (ec || m_sessions.size() >= m_options.maxConnections)
             continue;
         socket.set_option(tcp::no_delay(true), ec);
-        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        HttpSession::create(self, std::move(socket))->start();
+        if (!m_isSweeping)
+            asio::co_spawn(m_acceptor.get_executor(), closeOverdue(), asio::detached);
     }
 }
 
-asio::awaitable<void> HttpServer::serve(tcp::socket socket)
+// Runs only while there are connections, so that an idle instance has no timer.
+asio::awaitable<void> HttpServer::closeOverdue()
 {
     auto self = shared_from_this();
-    ++m_connections;
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    bool keepAlive = true;
-    while (keepAlive && !m_stopped) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(maxHeaderBytes);
-        parser.body_limit(m_options.bodyLimit);
-        beast::error_code ec;
-        stream.expires_after(m_options.idleTimeout);
-        m_idle.insert(&stream);
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-        m_idle.erase(&stream);
-        if (ec && !isProtocolError(ec))
-            break;
-        Response response;
-        if (ec) {
-            response = rejection(ec);
-        } else {
-            ++m_inFlight;
-            auto request = parser.release();
-            keepAlive = request.keep_alive();
-            stream.expires_never();
-            response = co_await m_options.handler(std::move(request));
-            response.keep_alive(response.keep_alive() && keepAlive && !m_draining);
-        }
-        stream.expires_after(m_options.idleTimeout);
-        keepAlive = response.keep_alive();
-        beast::error_code writeError;
-        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, writeError));
-        if (!ec)
-            --m_inFlight;
-        if (ec || writeError)
-            break;
+    m_isSweeping = true;
+    while (!m_sessions.empty()) {
+        boost::system::error_code ec;
+        m_sweep.expires_after(sweepInterval);
+        co_await m_sweep.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        auto now = HttpSession::Clock::now();
+        for (auto& it : sessions())
+            it->closeIfOverdue(now);
     }
-    beast::error_code ec;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-    --m_connections;
+    m_isSweeping = false;
 }
 
 } // namespace acaciagauge::net
--- /dev/null
+++ b/src/net/http_session.cpp
@@ -0,0 +1,251 @@
+#include "net/http_session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+
+namespace acaciagauge::net {
+
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr std::size_t readChunk = 4096;
+
+    /// Time that a caller gets to close its side after the last answer.
+    constexpr auto lingerTime = std::chrono::seconds(2);
+
+    Response rejection(beast::error_code ec)
+    {
+        unsigned status = 400;
+        if (ec == http::error::body_limit)
+            status = 413;
+        if (ec == http::error::header_limit)
+            status = 431;
+        auto body = "{\"code\":501,\"name\":\"malformedRequest\",\"message\":\"" + ec.message() + "\"}";
+        auto response = makeResponse(status, body);
+        response.set("X-Acaciagauge-Outcome", "notRun");
+        response.set("X-Acaciagauge-Code", "501");
+        response.keep_alive(false);
+        return response;
+    }
+
+    bool isProtocolError(beast::error_code ec)
+    {
+        bool isClosed = ec == http::error::end_of_stream || ec == http::error::partial_message;
+        return !isClosed && ec.category() == make_error_code(http::error::bad_method).category();
+    }
+
+} // namespace
+
+HttpSession::HttpSession(std::shared_ptr<HttpServer> server, tcp::socket socket)
+    : m_server(std::move(server))
+    , m_socket(std::move(socket))
+    , m_answered(m_socket.get_executor(), Clock::time_point::max())
+    , m_room(m_socket.get_executor(), Clock::time_point::max())
+    , m_phaseSince(Clock::now())
+{
+    m_server->m_sessions.insert(this);
+}
+
+HttpSession::~HttpSession()
+{
+    m_server->m_sessions.erase(this);
+}
+
+std::shared_ptr<HttpSession> HttpSession::create(std::shared_ptr<HttpServer> server, tcp::socket socket)
+{
+    return std::shared_ptr<HttpSession>(new HttpSession(std::move(server), std::move(socket)));
+}
+
+void HttpSession::start()
+{
+    auto self = shared_from_this();
+    auto executor = m_socket.get_executor();
+    asio::co_spawn(executor, readLoop(), [self](std::exception_ptr) {});
+    asio::co_spawn(executor, writeLoop(), [self](std::exception_ptr) {});
+}
+
+void HttpSession::enter(Phase phase)
+{
+    m_phase = phase;
+    m_phaseSince = Clock::now();
+}
+
+void HttpSession::closeIfIdle()
+{
+    if (m_calls.empty() && m_phase == Phase::idle)
+        callerLeft();
+}
+
+void HttpSession::closeIfOverdue(Clock::time_point now)
+{
+    auto limits = m_server->limits();
+    auto elapsed = now - m_phaseSince;
+    bool isIdleOver = m_phase == Phase::idle && m_calls.empty() && elapsed > limits.idleTimeout;
+    bool isReading = m_phase == Phase::header || m_phase == Phase::body;
+    bool isLingerOver = m_phase == Phase::closing && m_calls.empty() && elapsed > lingerTime;
+    if (isIdleOver || (isReading && elapsed > limits.headerTimeout + limits.idleTimeout) || isLingerOver
+        || (m_phase == Phase::header && elapsed > limits.headerTimeout))
+        callerLeft();
+}
+
+// Nobody reads what is still to be answered here.
+void HttpSession::callerLeft()
+{
+    m_hasLeft = true;
+    m_isReading = false;
+    auto calls = m_calls;
+    for (auto& it : calls)
+        it->cancellation->cancel();
+    beast::error_code ec;
+    m_socket.close(ec);
+    m_answered.cancel();
+    m_room.cancel();
+}
+
+asio::awaitable<void> HttpSession::waitForRoom()
+{
+    while (!m_hasLeft && m_calls.size() >= m_server->m_options.maxPipelined) {
+        beast::error_code ec;
+        co_await m_room.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+asio::awaitable<bool> HttpSession::waitForFirstByte()
+{
+    if (m_buffer.size() > 0)
+        co_return true;
+    enter(Phase::idle);
+    beast::error_code ec;
+    auto n
+        = co_await m_socket.async_read_some(m_buffer.prepare(readChunk), asio::redirect_error(asio::use_awaitable, ec));
+    m_buffer.commit(n);
+    co_return !ec;
+}
+
+void HttpSession::reject(beast::error_code ec)
+{
+    auto call = std::make_shared<Call>();
+    call->response = rejection(ec);
+    call->keepAlive = false;
+    call->isAnswered = true;
+    m_isReading = false;
+    m_calls.push_back(std::move(call));
+    m_answered.cancel();
+}
+
+/// Returns false if the connection has ended.
+asio::awaitable<bool> HttpSession::readRequest()
+{
+    auto limits = m_server->limits();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    beast::error_code ec;
+    enter(Phase::header);
+    co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    bool wantsContinue = !ec && m_calls.empty() && headerOf(parser.get(), "Expect") == "100-continue";
+    if (wantsContinue) {
+        static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_socket, asio::buffer(interim), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (!ec) {
+        enter(Phase::body);
+        co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (ec && isProtocolError(ec)) {
+        reject(ec);
+        co_return true;
+    }
+    if (ec)
+        co_return false;
+    // Behind an answer that ended the connection a request counts as not read.
+    if (!m_isReading)
+        co_return true;
+    auto call = std::make_shared<Call>();
+    call->request = parser.release();
+    call->keepAlive = call->request.keep_alive();
+    m_isReading = call->keepAlive && !m_server->m_stopped;
+    m_calls.push_back(call);
+    ++m_server->m_inFlight;
+    asio::co_spawn(m_socket.get_executor(), run(std::move(call)), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<void> HttpSession::readLoop()
+{
+    auto self = shared_from_this();
+    while (m_isReading) {
+        co_await waitForRoom();
+        if (!m_isReading)
+            break;
+        bool isOpen = co_await waitForFirstByte();
+        if (isOpen && m_isReading)
+            isOpen = co_await readRequest();
+        if (!isOpen)
+            callerLeft();
+    }
+    if (!m_hasLeft)
+        co_await readUntilClosed();
+}
+
+asio::awaitable<void> HttpSession::readUntilClosed()
+{
+    enter(Phase::closing);
+    beast::error_code ec;
+    while (!ec) {
+        m_buffer.clear();
+        co_await m_socket.async_read_some(m_buffer.prepare(readChunk), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    callerLeft();
+}
+
+asio::awaitable<void> HttpSession::run(std::shared_ptr<Call> call)
+{
+    auto self = shared_from_this();
+    auto& options = m_server->m_options;
+    if (options.callerHandler)
+        call->response = co_await options.callerHandler(std::move(call->request), call->cancellation);
+    else
+        call->response = co_await options.handler(std::move(call->request));
+    call->isAnswered = true;
+    --m_server->m_inFlight;
+    m_answered.cancel();
+}
+
+asio::awaitable<void> HttpSession::writeLoop()
+{
+    auto self = shared_from_this();
+    while (!m_hasLeft) {
+        if (m_calls.empty() || !m_calls.front()->isAnswered) {
+            beast::error_code ec;
+            co_await m_answered.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        auto call = m_calls.front();
+        // What was read behind this request is being worked on: only the last answer may end the connection.
+        bool isLast = m_calls.size() == 1 && m_phase != Phase::body;
+        bool isEnd = !call->response.keep_alive() || m_server->m_draining || !m_isReading;
+        bool keepAlive = call->keepAlive && !(isLast && isEnd);
+        if (!keepAlive)
+            m_isReading = false;
+        call->response.keep_alive(keepAlive);
+        beast::error_code ec;
+        co_await http::async_write(m_socket, call->response, asio::redirect_error(asio::use_awaitable, ec));
+        m_calls.pop_front();
+        m_room.cancel();
+        if (ec) {
+            callerLeft();
+        } else if (!keepAlive) {
+            m_socket.shutdown(tcp::socket::shutdown_send, ec);
+            enter(Phase::closing);
+            co_return;
+        }
+    }
+}
+
+} // namespace acaciagauge::net
