Silent and replaced servers: found within a second, refused at once

Requests to servers without power waited for an answer until the deadline, kept the gate full, and the others waited behind them.

Change: bytes that a machine does not acknowledge for a second end the connection; a server that ends nothing for long gets one probe and everybody else a refusal; a 421 of another instance, and a later entry with the same address, prove that a run has ended; answers go out 25 ms before the caller stops waiting; a window that refusals halve bounds each instance's share of a server.

--- a/include/acaciagauge/detail/admission/server_gate.hpp
+++ b/include/acaciagauge/detail/admission/server_gate.hpp
@@ -12,23 +12,27 @@
 
 /// @brief Decides how much work this instance sends to one server that other instances send to as well.
 ///
-/// It answers overload of single servers: the server's stated load says how much room there is, and what does not fit
-/// waits here, in order of priority, or is refused at once if it could not be served in time.
+/// It answers overload of single servers. A window, opened by answers and halved by refusals, bounds this instance's
+/// share; the load that the server states bounds the sum. What does not fit waits here, or is refused at once if it
+/// could not be served in time. A server that ends nothing gets no more work than a probe.
 class ServerGate {
 public:
     struct Options {
         unsigned slots = 1; ///< Requests that the server works on at once.
-        unsigned ahead = 3; ///< Requests that may wait at the server, from all instances.
+        unsigned ahead = 4; ///< Requests that may wait at the server, from all instances.
         std::size_t maxWaiting = 64; ///< Requests that may wait here.
-        Duration loadLifetime = std::chrono::milliseconds(400); ///< A stated load counts for nothing after this time.
+        Duration loadLifetime
+            = std::chrono::milliseconds(400); ///< A stated load gives way to the usual one within this.
         Duration firstServiceTime = std::chrono::milliseconds(200); ///< Taken until one was measured.
         Duration shedPause
-            = std::chrono::milliseconds(150); ///< Nothing is sent this long after a refusal for lack of room.
+            = std::chrono::milliseconds(100); ///< Nothing is sent this long after a refusal for lack of room.
+        Duration stuckAfter = std::chrono::milliseconds(700); ///< Least time without an end that makes a server stuck.
     };
 
     /// @brief What a caller's request asks for.
     struct Work {
         unsigned priority = 0; ///< 0 goes first.
+        TimePoint target; ///< An answer by then earns its full worth.
         TimePoint deadline; ///< No answer counts after this.
     };
 
@@ -46,23 +50,26 @@
         std::optional<unsigned> statedLoad; ///< Requests running and waiting there, as the server states.
     };
 
+    /// @brief Waiting work that next() decided on.
+    struct Left {
+        std::uint64_t id = 0;
+        bool isSent = false; ///< false: refused.
+    };
+
     static ServerGate create(Options options) { return ServerGate(options); }
 
     /// @brief Offers work.
-    /// @complexity O(log n) for n waiting
+    /// @complexity O(log n) for n waiting or in flight
     Verdict offer(std::uint64_t id, const Work& work, TimePoint now);
 
     /// @brief Takes back waiting work; false if it is not waiting.
-    bool withdraw(std::uint64_t id);
+    bool withdraw(std::uint64_t id) { return m_waiting.erase(id) > 0; }
 
     /// @brief Notes that sent work ended.
-    void ended(const Ended& ended, TimePoint now);
+    void ended(std::uint64_t id, const Ended& ended, TimePoint now);
 
     /// @brief Returns waiting work that is sent now, and work that can no longer be served in time.
-    struct Left {
-        std::uint64_t id = 0;
-        bool isSent = false; ///< false: refused.
-    };
+    /// @complexity O(n) for n waiting, for each that is sent
     std::vector<Left> next(TimePoint now);
 
     /// @brief Returns when next() should be asked again although nothing ended; nothing if not at all.
@@ -71,27 +78,38 @@
     /// @brief Returns the expected time until work that is offered now would be answered.
     [[nodiscard]] Duration expectedTime(TimePoint now) const;
 
-    [[nodiscard]] std::size_t inFlight() const { return m_inFlight; }
+    /// @brief Returns true if the server has work and has ended none for long.
+    [[nodiscard]] bool isStuck(TimePoint now) const;
+
+    [[nodiscard]] std::size_t inFlight() const { return m_sent.size(); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+
+    /// @brief Returns the work that other instances are taken to have there.
     [[nodiscard]] double othersInFlight(TimePoint now) const;
     [[nodiscard]] Duration serviceTime() const;
-    void setSlots(unsigned slots) { m_options.slots = slots; }
 
 private:
     explicit ServerGate(Options options)
         : m_options(options)
+        , m_window(options.slots)
     {
     }
     [[nodiscard]] bool hasRoom(TimePoint now) const;
+    [[nodiscard]] bool mayEndInTime(const Work& work, TimePoint now) const;
+    void measure(const Ended& ended, TimePoint now);
+
+    using Waiting = std::map<std::uint64_t, Work>;
+    Waiting::iterator best(TimePoint now);
 
     Options m_options;
-    std::map<std::pair<unsigned, std::uint64_t>, std::pair<std::uint64_t, Work>>
-        m_waiting; ///< By priority, then arrival.
-    std::uint64_t m_arrivals = 0;
-    std::size_t m_inFlight = 0;
+    Waiting m_waiting; ///< By id, that is, in order of arrival.
+    std::map<std::uint64_t, TimePoint> m_sent; ///< Work in flight and when it was sent.
+    double m_window; ///< Work that this instance may have there.
     double m_others = 0; ///< Of other instances, when m_statedAt.
+    double m_usualOthers = 0; ///< Moving average of m_others.
     TimePoint m_statedAt;
     TimePoint m_pausedUntil;
+    TimePoint m_lastEnd; ///< When the server last ended work.
     double m_serviceMicros = 0; ///< Moving average of the time of one request in a slot.
 };
 
--- a/include/acaciagauge/detail/ownership/key_keeper.hpp
+++ b/include/acaciagauge/detail/ownership/key_keeper.hpp
@@ -29,7 +29,7 @@
 /// @{
 struct KeyTick { };
 struct KeyServersChanged {
-    std::vector<KnownServer> servers; ///< Of all services that own keys.
+    std::vector<KnownServer> servers; ///< Of all services: an address may pass from one to another.
 };
 struct KeyServicesChanged {
     std::set<ServiceName> services; ///< That own keys.
@@ -189,6 +189,7 @@
     void onLoad(const KeyLoadReported& event, TimePoint now);
     void onRunEnded(const ServerRun& run, TimePoint now);
 
+    void loseReplaced();
     bool step(Range& range, RangeEvent event);
     void advance(const ServiceName& name, Service& service, Range& range, TimePoint now);
     void assign(const ServiceName& name, Service& service, Range& range, TimePoint now);
--- a/src/core/admission/server_gate.cpp
+++ b/src/core/admission/server_gate.cpp
@@ -9,14 +9,24 @@
     /// Weight of the newest measurement in moving averages.
     constexpr double newest = 0.15;
 
+    /// A server is stuck after this many service times without an end; the longest work takes about as long.
+    constexpr int stuckServiceTimes = 4;
+
+    /// Work that a stuck server still gets, so that its recovery is noticed.
+    constexpr std::size_t probes = 1;
+
+    Duration scaled(Duration duration, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    }
+
 } // namespace
 
 double ServerGate::othersInFlight(TimePoint now) const
 {
-    auto age = now - m_statedAt;
-    if (age >= m_options.loadLifetime)
-        return 0;
-    return m_others * (1.0 - static_cast<double>(age.count()) / static_cast<double>(m_options.loadLifetime.count()));
+    auto age = static_cast<double>((now - m_statedAt).count()) / static_cast<double>(m_options.loadLifetime.count());
+    auto freshness = std::clamp(1.0 - age, 0.0, 1.0);
+    return m_others * freshness + m_usualOthers * (1.0 - freshness);
 }
 
 Duration ServerGate::serviceTime() const
@@ -24,75 +34,110 @@
     return m_serviceMicros > 0 ? Duration(static_cast<Duration::rep>(m_serviceMicros)) : m_options.firstServiceTime;
 }
 
+bool ServerGate::isStuck(TimePoint now) const
+{
+    if (m_sent.empty())
+        return false;
+    auto since = std::max(m_lastEnd, m_sent.begin()->second);
+    return now - since > std::max(m_options.stuckAfter, serviceTime() * stuckServiceTimes);
+}
+
 bool ServerGate::hasRoom(TimePoint now) const
 {
-    if (now < m_pausedUntil)
+    if (now < m_pausedUntil || isStuck(now))
         return false;
-    auto load = static_cast<double>(m_inFlight) + othersInFlight(now);
-    return load < static_cast<double>(m_options.slots + m_options.ahead);
+    auto own = static_cast<double>(m_sent.size());
+    return own < std::max(1.0, m_window) && own + othersInFlight(now) < m_options.slots + m_options.ahead;
 }
 
 Duration ServerGate::expectedTime(TimePoint now) const
 {
-    auto ahead = static_cast<double>(m_inFlight + m_waiting.size()) + othersInFlight(now);
+    auto ahead = static_cast<double>(m_sent.size() + m_waiting.size()) + othersInFlight(now);
     auto rounds = std::max(0.0, ahead + 1 - m_options.slots) / std::max(1U, m_options.slots);
-    auto time = Duration(static_cast<Duration::rep>(static_cast<double>(serviceTime().count()) * (1.0 + rounds)));
-    return time + std::max(Duration::zero(), m_pausedUntil - now);
+    return scaled(serviceTime(), 1.0 + rounds) + std::max(Duration::zero(), m_pausedUntil - now);
 }
 
 ServerGate::Verdict ServerGate::offer(std::uint64_t id, const Work& work, TimePoint now)
 {
-    if (m_waiting.empty() && hasRoom(now)) {
-        ++m_inFlight;
+    bool isProbe = isStuck(now) && m_sent.size() <= probes;
+    if (isProbe || (m_waiting.empty() && hasRoom(now))) {
+        m_sent[id] = now;
         return Verdict::send;
     }
-    bool isHopeless = now + expectedTime(now) > work.deadline;
+    bool isHopeless = isStuck(now) || now + expectedTime(now) > work.deadline;
     if (isHopeless || m_waiting.size() >= m_options.maxWaiting)
         return Verdict::refuse;
-    m_waiting[{ work.priority, ++m_arrivals }] = { id, work };
+    m_waiting[id] = work;
     return Verdict::wait;
 }
 
-bool ServerGate::withdraw(std::uint64_t id)
+// What a request waited at the server is not its time in a slot.
+void ServerGate::measure(const Ended& ended, TimePoint now)
 {
-    return std::erase_if(m_waiting, [id](const auto& it) { return it.second.first == id; }) > 0;
+    auto load = static_cast<double>(m_sent.size()) + othersInFlight(now) + 1;
+    auto rounds = std::max(1.0, load / std::max(1U, m_options.slots));
+    auto micros = static_cast<double>(ended.time.count()) / rounds;
+    m_serviceMicros = m_serviceMicros > 0 ? m_serviceMicros * (1 - newest) + micros * newest : micros;
 }
 
-void ServerGate::ended(const Ended& ended, TimePoint now)
+void ServerGate::ended(std::uint64_t id, const Ended& ended, TimePoint now)
 {
-    if (m_inFlight > 0)
-        --m_inFlight;
+    m_sent.erase(id);
     if (ended.statedLoad) {
-        m_others = std::max(0.0, static_cast<double>(*ended.statedLoad) - static_cast<double>(m_inFlight));
+        m_others = std::max(0.0, static_cast<double>(*ended.statedLoad) - static_cast<double>(m_sent.size()));
+        m_usualOthers = m_usualOthers * (1 - newest) + m_others * newest;
         m_statedAt = now;
     }
-    if (ended.shed)
+    if (ended.shed) {
+        m_window = std::max(1.0, m_window / 2);
         m_pausedUntil = now + m_options.shedPause;
+    }
+    if (ended.ran || ended.shed)
+        m_lastEnd = now;
     if (!ended.ran)
         return;
-    // What the request waited at the server is not its time in a slot.
-    auto load = static_cast<double>(m_inFlight) + othersInFlight(now) + 1;
-    auto rounds = std::max(1.0, load / std::max(1U, m_options.slots));
-    auto micros = static_cast<double>(ended.time.count()) / rounds;
-    m_serviceMicros = m_serviceMicros > 0 ? m_serviceMicros * (1 - newest) + micros * newest : micros;
+    m_window = std::min<double>(m_options.slots + m_options.ahead, m_window + 1.0 / std::max(1.0, m_window));
+    measure(ended, now);
+}
+
+bool ServerGate::mayEndInTime(const Work& work, TimePoint now) const
+{
+    return now + serviceTime() / 2 <= work.deadline;
+}
+
+// Work that can still meet its target goes before work that is late anyway; then priority, then arrival.
+ServerGate::Waiting::iterator ServerGate::best(TimePoint now)
+{
+    auto rank = [&](const Work& work) {
+        bool isLate = now + serviceTime() > work.target;
+        return std::pair(isLate, work.priority);
+    };
+    auto best = m_waiting.begin();
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+        if (rank(it->second) < rank(best->second))
+            best = it;
+    }
+    return best;
 }
 
 std::vector<ServerGate::Left> ServerGate::next(TimePoint now)
 {
     std::vector<Left> left;
+    bool isHopeless = isStuck(now);
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-        bool isHopeless = now + serviceTime() / 2 > it->second.second.deadline;
-        if (isHopeless) {
-            left.push_back({ it->second.first, false });
-        } else if (hasRoom(now)) {
-            ++m_inFlight;
-            left.push_back({ it->second.first, true });
-        } else {
+        if (!isHopeless && mayEndInTime(it->second, now)) {
             ++it;
             continue;
         }
+        left.push_back({ it->first, false });
         it = m_waiting.erase(it);
     }
+    while (!m_waiting.empty() && hasRoom(now)) {
+        auto it = best(now);
+        m_sent[it->first] = now;
+        left.push_back({ it->first, true });
+        m_waiting.erase(it);
+    }
     return left;
 }
 
--- a/src/core/ownership/key_keeper.cpp
+++ b/src/core/ownership/key_keeper.cpp
@@ -190,6 +190,7 @@
             m_lastJoin[it.second.entry.service] = now;
     }
     m_servers = std::move(servers);
+    loseReplaced();
     for (auto& service : m_services) {
         for (auto& it : service.second.ranges) {
             auto& range = it.second;
@@ -201,6 +202,26 @@
     }
 }
 
+// A process has ended once a later one has its address.
+void KeyKeeper::loseReplaced()
+{
+    std::map<std::string, const ServerEntry*> newest;
+    for (const auto& it : m_servers) {
+        auto& entry = newest[it.second.entry.address];
+        if (!entry || entry->run.startedMs < it.second.entry.run.startedMs)
+            entry = &it.second.entry;
+    }
+    for (auto& service : m_services) {
+        for (auto& it : service.second.ranges) {
+            auto owner = m_servers.find(it.second.owner.id);
+            if (it.second.state == RangeState::unowned || owner == m_servers.end())
+                continue;
+            if (newest.at(owner->second.entry.address) != &owner->second.entry)
+                lose(service.first, it.second, "a later process has its address");
+        }
+    }
+}
+
 // The new run holds nothing of the former one, but a renewal meant for that one may have reached it: the keys stay with
 // this id, or leave it by a release like any others.
 void KeyKeeper::followRestart(const ServiceName& name, Range& range, const ServerRun& run, TimePoint now)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,9 @@
 using namespace acaciagauge;
 using namespace acaciagauge::daemon;
 
+/// Bytes that the store's or a server's machine does not acknowledge for this long are given up.
+constexpr auto silenceLimit = std::chrono::milliseconds(1000);
+
 constexpr int exitInvalidSettings = 2;
 constexpr int exitUnfinished = 3;
 
@@ -22,8 +25,11 @@
 {
     net::HttpClient::Options storeClient;
     storeClient.bodyLimit = net::maxAdminBodyBytes;
+    storeClient.silenceLimit = silenceLimit;
     auto store = net::HttpClient::create(context, storeClient);
-    auto orders = net::HttpClient::create(context, {});
+    net::HttpClient::Options orderClient;
+    orderClient.silenceLimit = silenceLimit;
+    auto orders = net::HttpClient::create(context, orderClient);
     entry::Ports ports;
     ports.store = platform::storePort(store, settings.platformAddress);
     ports.orders = platform::keyOrdersPort(orders);
--- a/src/entry/controller_duty.cpp
+++ b/src/entry/controller_duty.cpp
@@ -223,7 +223,8 @@
     }
     KeyServersChanged servers;
     for (const auto& it : m_catalog.servers().servers()) {
-        if (services.services.contains(it.second.entry.service))
+        bool isConfigured = m_catalog.desiredState() && m_catalog.desiredState()->service(it.second.entry.service);
+        if (isConfigured)
             servers.servers.push_back(it.second);
     }
     tell(std::move(services));
--- a/src/entry/request_path.cpp
+++ b/src/entry/request_path.cpp
@@ -33,6 +33,12 @@
     /// Suggested to callers of an instance that knows no desired state yet.
     constexpr auto startRetryAfter = std::chrono::milliseconds(500);
 
+    /// Bytes that a server's machine does not acknowledge for this long are given up: a few retransmissions.
+    constexpr auto silenceLimit = std::chrono::milliseconds(1000);
+
+    /// Taken off a caller's time, for the answer's way back.
+    constexpr auto answerMargin = std::chrono::milliseconds(25);
+
     /// Idle connections kept for one server; it takes part in few requests at once.
     constexpr std::size_t idlePerServer = 6;
 
@@ -83,6 +89,7 @@
     client.maxIdlePerAddress = idlePerServer;
     client.bodyLimit = net::maxAdminBodyBytes;
     client.acceptUnframed = true;
+    client.silenceLimit = silenceLimit;
     m_client = net::HttpClient::create(context, client);
 }
 
@@ -169,7 +176,8 @@
         patience = std::min(patience, rule->timeout);
     job.routeName = rule->name;
     job.priority = rule->priority;
-    job.deadline = job.started + patience;
+    job.deadline = job.started + patience - answerMargin;
+    job.target = job.started + rule->targetLatency;
     job.service = m_dealer.next(*rule).service;
     job.history.idempotent = rule->idempotent;
     job.history.maxAttempts = std::max(1U, rule->maxAttempts);
@@ -218,7 +226,7 @@
         const auto* server = job.key ? ownerOf(job, job.cause) : m_upstreams.choose(job.service, job.tried);
         if (!server && !job.key)
             job.cause = "service " + job.service + " has no server in use";
-        bool isSilent = server && job.key && !m_upstreams.isReachable(server->entry.run.id);
+        bool isSilent = server && job.key && !m_upstreams.isReachable(server->entry.run);
         if (isSilent) {
             job.cause = "owner " + server->entry.run.id + " does not answer";
             co_return nullptr;
@@ -244,15 +252,15 @@
         // The directory may change while this coroutine waits.
         auto server = *found;
         job.lastServer = server.entry.run.id;
-        ServerGate::Work work { job.priority, job.deadline };
-        auto verdict = co_await m_upstreams.admit(server, work, job.cancellation);
-        if (verdict != ServerGate::Verdict::send) {
+        ServerGate::Work work { job.priority, job.target, job.deadline };
+        auto admitted = co_await m_upstreams.admit(server, work, job.cancellation);
+        if (!admitted) {
             job.cause = "server " + server.entry.run.id + " has no room in time";
             if (job.history.mayHaveRun > 0)
                 co_return giveUp(job, monotonicNow() >= job.deadline);
             co_return refuse(job, m_upstreams.expectedTime(server.entry.run.id));
         }
-        auto sent = co_await send(job, server);
+        auto sent = co_await send(job, server, *admitted);
         job.tried.insert(server.entry.run.id);
         job.cause = sent.cause;
         timedOut = sent.timedOut;
@@ -299,7 +307,7 @@
     return out;
 }
 
-awaitable<RequestPath::Sent> RequestPath::send(Job& job, KnownServer server)
+awaitable<RequestPath::Sent> RequestPath::send(Job& job, KnownServer server, std::uint64_t work)
 {
     auto sentAt = monotonicNow();
     net::HttpClient::ExchangeOptions options;
@@ -318,7 +326,7 @@
         ++job.history.arrivals;
     if (sent.outcome == SendOutcome::unknown || sent.outcome == SendOutcome::failed)
         ++job.history.mayHaveRun;
-    noteEnd(job, server, sent, sentAt);
+    noteEnd(job, server, work, sent, sentAt);
     co_return sent;
 }
 
@@ -337,15 +345,13 @@
     }
     auto status = sent.response.result_int();
     sent.cause = "server " + job.lastServer + " answered " + std::to_string(status);
-    bool isNotRun = sent.response.find(m_dialect.notExecuted) != sent.response.end();
+    auto instance = headerOf(sent.response, m_dialect.serverId);
+    sent.isReplaced = status == 421 && !instance.empty() && instance != job.lastServer;
+    bool isNotRun = status == 421 || sent.response.find(m_dialect.notExecuted) != sent.response.end();
     if (isNotRun) {
         sent.outcome = status == 421 ? SendOutcome::moved : SendOutcome::shed;
         return sent;
     }
-    if (status == 421) {
-        sent.outcome = SendOutcome::moved;
-        return sent;
-    }
     bool isEncoded = sent.response.find(http::field::content_encoding) != sent.response.end();
     bool isSigned = sent.response.find(m_dialect.signature) != sent.response.end();
     if (isEncoded || !isSigned) {
@@ -356,7 +362,8 @@
     return sent;
 }
 
-void RequestPath::noteEnd(const Job& job, const KnownServer& server, const Sent& sent, TimePoint sentAt)
+void RequestPath::noteEnd(
+    const Job& job, const KnownServer& server, std::uint64_t work, const Sent& sent, TimePoint sentAt)
 {
     ServerGate::Ended ended;
     auto now = monotonicNow();
@@ -366,7 +373,9 @@
     auto load = m_dialect.parseLoad(headerOf(sent.response, m_dialect.load));
     if (load)
         ended.statedLoad = load->running + load->waiting;
-    m_upstreams.ended(server.entry.run.id, ended);
+    m_upstreams.ended(server.entry.run.id, work, ended);
+    if (sent.isReplaced)
+        m_upstreams.noteReplaced(server.entry.run);
     bool isSilent = sent.outcome == SendOutcome::notSent && !job.cancellation->isCancelled();
     if (isSilent)
         m_upstreams.noteSilence(server.entry.run.id);
--- a/src/entry/request_path.hpp
+++ b/src/entry/request_path.hpp
@@ -46,6 +46,7 @@
         std::uint64_t version = 0; ///< Of the desired state that routed it.
         unsigned priority = 0;
         TimePoint started;
+        TimePoint target; ///< An answer by then earns its full worth.
         TimePoint deadline; ///< Nobody waits for the answer after this.
         SendHistory history;
         std::set<ServerId> tried;
@@ -58,6 +59,7 @@
         SendOutcome outcome = SendOutcome::notSent;
         net::Response response;
         bool timedOut = false;
+        bool isReplaced = false; ///< Another process has the server's address.
         std::string cause;
     };
 
@@ -65,10 +67,10 @@
     boost::asio::awaitable<net::Response> carry(Job& job);
     boost::asio::awaitable<const KnownServer*> findServer(Job& job);
     const KnownServer* ownerOf(const Job& job, std::string& reason) const;
-    boost::asio::awaitable<Sent> send(Job& job, KnownServer server);
+    boost::asio::awaitable<Sent> send(Job& job, KnownServer server, std::uint64_t work);
     net::Request buildRequest(const Job& job, const KnownServer& server) const;
     Sent classify(Job& job, net::Exchange exchange) const;
-    void noteEnd(const Job& job, const KnownServer& server, const Sent& sent, TimePoint sentAt);
+    void noteEnd(const Job& job, const KnownServer& server, std::uint64_t work, const Sent& sent, TimePoint sentAt);
     net::Response passOn(Job& job, net::Response response);
     net::Response refuse(Job& job, Duration comeBackAfter);
     net::Response giveUp(Job& job, bool timedOut);
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -38,14 +38,23 @@
         return it->second;
     ServerGate::Options options;
     options.slots = std::max(1U, server.entry.slots);
-    return m_upstreams.emplace(server.entry.run.id, Upstream { ServerGate::create(options), {}, 0, {}, false })
+    return m_upstreams.emplace(server.entry.run.id, Upstream { ServerGate::create(options), {}, 0, {}, false, {} })
         .first->second;
 }
 
-bool Upstreams::isReachable(const ServerId& server) const
+bool Upstreams::isReachable(const ServerRun& run) const
 {
-    auto it = m_upstreams.find(server);
-    return it == m_upstreams.end() || monotonicNow() >= it->second.leftAloneUntil;
+    auto it = m_upstreams.find(run.id);
+    if (it == m_upstreams.end())
+        return true;
+    return monotonicNow() >= it->second.leftAloneUntil && it->second.replacedRun != run;
+}
+
+void Upstreams::noteReplaced(const ServerRun& run)
+{
+    auto it = m_upstreams.find(run.id);
+    if (it != m_upstreams.end())
+        it->second.replacedRun = run;
 }
 
 void Upstreams::noteSilence(const ServerId& server)
@@ -68,7 +77,10 @@
 double Upstreams::cost(const KnownServer& server, TimePoint now)
 {
     auto& upstream = upstreamOf(server);
+    constexpr double stuckFactor = 100;
     auto cost = static_cast<double>(upstream.gate.expectedTime(now).count());
+    if (upstream.gate.isStuck(now))
+        cost *= stuckFactor;
     // A server with a free slot is still better the less it does.
     cost *= 1.0 + 0.1 * (static_cast<double>(upstream.gate.inFlight()) + upstream.gate.othersInFlight(now));
     if (server.entry.domain != m_domain)
@@ -88,7 +100,7 @@
     for (const auto* it : m_catalog.readyServers(service)) {
         constexpr double lastResort = 1000;
         auto expected = cost(*it, now) * jitter(m_random);
-        if (!isReachable(it->entry.run.id) || avoid.contains(it->entry.run.id))
+        if (!isReachable(it->entry.run) || avoid.contains(it->entry.run.id))
             expected *= lastResort;
         if (!best || expected < bestCost) {
             best = it;
@@ -98,7 +110,7 @@
     return best;
 }
 
-awaitable<ServerGate::Verdict> Upstreams::admit(
+awaitable<std::optional<std::uint64_t>> Upstreams::admit(
     const KnownServer& server, ServerGate::Work work, std::shared_ptr<net::Cancellation> cancellation)
 {
     auto id = server.entry.run.id;
@@ -106,8 +118,10 @@
     {
         auto& upstream = upstreamOf(server);
         auto verdict = upstream.gate.offer(number, work, monotonicNow());
-        if (verdict != ServerGate::Verdict::wait)
-            co_return verdict;
+        if (verdict == ServerGate::Verdict::send)
+            co_return number;
+        if (verdict == ServerGate::Verdict::refuse)
+            co_return std::nullopt;
         upstream.waiters[number] = std::make_shared<Waiter>(m_context);
         if (!upstream.isRechecking)
             asio::co_spawn(m_context, recheck(id), asio::detached);
@@ -120,12 +134,12 @@
     cancellation->remove(registered);
     auto upstream = m_upstreams.find(id);
     if (upstream == m_upstreams.end())
-        co_return ServerGate::Verdict::refuse;
+        co_return std::nullopt;
     upstream->second.waiters.erase(number);
     if (waiter->isSent)
-        co_return *waiter->isSent ? ServerGate::Verdict::send : ServerGate::Verdict::refuse;
+        co_return *waiter->isSent ? std::optional(number) : std::nullopt;
     upstream->second.gate.withdraw(number);
-    co_return ServerGate::Verdict::refuse;
+    co_return std::nullopt;
 }
 
 void Upstreams::wake(Upstream& upstream)
@@ -159,7 +173,7 @@
     }
 }
 
-void Upstreams::ended(const ServerId& server, const ServerGate::Ended& ended)
+void Upstreams::ended(const ServerId& server, std::uint64_t work, const ServerGate::Ended& ended)
 {
     auto it = m_upstreams.find(server);
     if (it == m_upstreams.end())
@@ -168,7 +182,7 @@
         it->second.silences = 0;
         it->second.leftAloneUntil = {};
     }
-    it->second.gate.ended(ended, monotonicNow());
+    it->second.gate.ended(work, ended, monotonicNow());
     wake(it->second);
 }
 
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -18,18 +18,21 @@
     const KnownServer* choose(const ServiceName& service, const std::set<ServerId>& avoid);
 
     /// @brief Waits until the server has room.
-    /// @return send, or refuse
-    boost::asio::awaitable<ServerGate::Verdict> admit(
+    /// @return number of the admitted work; nothing if it is refused
+    boost::asio::awaitable<std::optional<std::uint64_t>> admit(
         const KnownServer& server, ServerGate::Work work, std::shared_ptr<net::Cancellation> cancellation);
 
     /// @brief Notes how admitted work ended.
-    void ended(const ServerId& server, const ServerGate::Ended& ended);
+    void ended(const ServerId& server, std::uint64_t work, const ServerGate::Ended& ended);
 
     /// @brief Notes that a server could not be reached, or did not answer.
     void noteSilence(const ServerId& server);
 
-    /// @brief Returns false while a server that was silent is left alone.
-    [[nodiscard]] bool isReachable(const ServerId& server) const;
+    /// @brief Notes that another process answers at a server's address: this run has ended.
+    void noteReplaced(const ServerRun& run);
+
+    /// @brief Returns false while a server that was silent is left alone, and for one whose run has ended.
+    [[nodiscard]] bool isReachable(const ServerRun& run) const;
 
     /// @brief Returns the expected time until a request sent now would be answered.
     [[nodiscard]] Duration expectedTime(const ServerId& server) const;
@@ -53,6 +56,7 @@
         unsigned silences = 0; ///< In a row.
         TimePoint leftAloneUntil;
         bool isRechecking = false;
+        std::optional<ServerRun> replacedRun; ///< Its address has passed to another process.
     };
 
     Upstream& upstreamOf(const KnownServer& server);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace acaciagauge::net {
@@ -15,6 +16,19 @@
     /// Answers to earlier requests that are skipped on one connection before it is given up.
     constexpr int maxStrayAnswers = 3;
 
+    // A machine that has lost its power, or is cut off, sends nothing: only unanswered segments and probes tell.
+    void limitSilence(tcp::socket& socket, std::chrono::milliseconds limit)
+    {
+        using Option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        using ProbeAfter = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+        using ProbeEvery = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+        beast::error_code ec;
+        socket.set_option(asio::socket_base::keep_alive(true), ec);
+        socket.set_option(ProbeAfter(1), ec);
+        socket.set_option(ProbeEvery(1), ec);
+        socket.set_option(Option(static_cast<int>(limit.count())), ec);
+    }
+
     // "timeout=5" within the value of Keep-Alive, in seconds.
     std::chrono::milliseconds keepAliveLimit(const Response& response)
     {
@@ -101,6 +115,8 @@
         co_return nullptr;
     }
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
+    if (m_options.silenceLimit.count() > 0)
+        limitSilence(connection->stream.socket(), m_options.silenceLimit);
     co_return connection;
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -39,6 +39,9 @@
         std::uint64_t bodyLimit = maxBodyBytes;
         std::chrono::milliseconds maxIdle { 8000 }; ///< Idle connections are not used after this time.
         std::chrono::milliseconds idleMargin { 1000 }; ///< Nor this long before the server's own limit.
+        std::chrono::milliseconds silenceLimit {
+            0
+        }; ///< Unacknowledged bytes end the connection; 0: the system's limit.
         bool acceptUnframed = false; ///< Takes answers that end with their connection, if it ends in order.
     };
 
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -109,6 +109,7 @@
     std::string deadlineMs; ///< How many milliseconds the sender will wait.
     std::string signature; ///< On a server's answer; passed on unchanged.
     std::string targetServer; ///< Any other server refuses the request.
+    std::string serverId; ///< On an answer: the server that gave it.
     std::string load;
     std::string notExecuted; ///< Present if the server did not run the request.
     std::string keyNumber;
