Server speeds are learned; a hot key moves to a faster server

Servers' speeds differ by 2.3 and were taken as equal.

Change: instances report the time that answers took in a slot; capacity is slots times the learned speed. Servers that cannot be improved no longer end the round; reports and plans come every 300 ms instead of 500.

--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -25,6 +25,7 @@
 #include "acaciagauge/detail/ownership/orders.hpp"
 #include "acaciagauge/detail/planning/key_placement.hpp"
 #include "acaciagauge/detail/planning/planner.hpp"
+#include "acaciagauge/detail/planning/server_speeds.hpp"
 #include "acaciagauge/detail/relay/knowledge.hpp"
 #include "acaciagauge/detail/routing/retry.hpp"
 #include "acaciagauge/detail/routing/retry_share.hpp"
--- a/include/acaciagauge/detail/admission/server_gate.hpp
+++ b/include/acaciagauge/detail/admission/server_gate.hpp
@@ -66,7 +66,8 @@
     bool withdraw(std::uint64_t id) { return m_waiting.erase(id) > 0; }
 
     /// @brief Notes that sent work ended.
-    void ended(std::uint64_t id, const Ended& ended, TimePoint now);
+    /// @return its time in a slot, without what it waited at the server; nothing if it took none
+    std::optional<Duration> ended(std::uint64_t id, const Ended& ended, TimePoint now);
 
     /// @brief Returns waiting work that is sent now, and work that can no longer be served in time.
     /// @complexity O(n) for n waiting, for each that is sent
@@ -96,7 +97,7 @@
     }
     [[nodiscard]] bool hasRoom(TimePoint now) const;
     [[nodiscard]] bool mayEndInTime(const Work& work, TimePoint now) const;
-    void measure(const Ended& ended, TimePoint now);
+    Duration measure(const Ended& ended, TimePoint now);
 
     using Waiting = std::map<std::uint64_t, Work>;
     Waiting::iterator best(TimePoint now);
--- a/include/acaciagauge/detail/ownership/key_keeper.hpp
+++ b/include/acaciagauge/detail/ownership/key_keeper.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/detail/ownership/key_load.hpp"
 #include "acaciagauge/detail/ownership/key_ranges.hpp"
 #include "acaciagauge/detail/planning/key_placement.hpp"
+#include "acaciagauge/detail/planning/server_speeds.hpp"
 
 #include <set>
 #include <variant>
@@ -25,6 +26,12 @@
     unanswered, ///< It may be carried out, now or later.
 };
 
+/// @brief What one instance saw of the load since its last report.
+struct LoadReport {
+    std::map<ServiceName, KeyCounts> keys; ///< Requests by key, of services that own keys.
+    std::map<ServerId, ServiceTimes> times; ///< Of servers that answered.
+};
+
 /// @name Events of a KeyKeeper
 /// @{
 struct KeyTick { };
@@ -43,7 +50,7 @@
     bool written = false; ///< false: write again with what is wanted by then.
 };
 struct KeyLoadReported {
-    std::map<ServiceName, KeyCounts> counts;
+    LoadReport report;
 };
 struct KeyRunEnded {
     ServerRun run; ///< Proved to have ended: it holds nothing any more.
@@ -126,7 +133,7 @@
             = std::chrono::milliseconds(1200); ///< A service is first divided this long after its last new server.
         std::size_t maxReleases = 8; ///< Releases in progress at one server.
         KeyPlacement::Options placement;
-        Duration planEvery = std::chrono::milliseconds(500); ///< Interval of looking for moves.
+        Duration planEvery = std::chrono::milliseconds(300); ///< Interval of looking for moves.
     };
 
     /// @brief Starts a controller's epoch from what is recorded.
@@ -163,6 +170,7 @@
     struct Service {
         std::map<KeyNumber, Range> ranges; ///< By first key; without gaps once divided.
         KeyLoad load;
+        ServerSpeeds speeds;
         bool isDivided = false;
     };
 
@@ -190,6 +198,7 @@
     void onRunEnded(const ServerRun& run, TimePoint now);
 
     void loseReplaced();
+    static Service newService(TimePoint now);
     bool step(Range& range, RangeEvent event);
     void advance(const ServiceName& name, Service& service, Range& range, TimePoint now);
     void assign(const ServiceName& name, Service& service, Range& range, TimePoint now);
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -128,6 +128,17 @@
   counts @1 :List(KeyCount);
 }
 
+struct ServerTimes {
+  server @0 :Text;
+  requests @1 :UInt32;
+  totalMicros @2 :UInt64;
+}
+
+struct LoadReport {
+  keys @0 :List(ServiceLoad);
+  times @1 :List(ServerTimes);
+}
+
 struct StoreChange {
   key @0 :Text;
   value @1 :Data;
@@ -146,7 +157,7 @@
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
   exchange @2 (digest :Digest) -> (news :News);
   announce @3 (news :News) -> ();
-  reportLoad @4 (loads :List(ServiceLoad)) -> ();
+  reportLoad @4 (report :LoadReport) -> ();
   # What the store's copy of the asked instance has beyond a revision.
   changesSince @5 (revision :UInt64) -> (delta :StoreDelta);
 }
--- a/src/core/admission/server_gate.cpp
+++ b/src/core/admission/server_gate.cpp
@@ -71,16 +71,16 @@
     return Verdict::wait;
 }
 
-// What a request waited at the server is not its time in a slot.
-void ServerGate::measure(const Ended& ended, TimePoint now)
+Duration ServerGate::measure(const Ended& ended, TimePoint now)
 {
     auto load = static_cast<double>(m_sent.size()) + othersInFlight(now) + 1;
     auto rounds = std::max(1.0, load / std::max(1U, m_options.slots));
     auto micros = static_cast<double>(ended.time.count()) / rounds;
     m_serviceMicros = m_serviceMicros > 0 ? m_serviceMicros * (1 - newest) + micros * newest : micros;
+    return Duration(static_cast<Duration::rep>(micros));
 }
 
-void ServerGate::ended(std::uint64_t id, const Ended& ended, TimePoint now)
+std::optional<Duration> ServerGate::ended(std::uint64_t id, const Ended& ended, TimePoint now)
 {
     m_sent.erase(id);
     if (ended.statedLoad) {
@@ -95,9 +95,9 @@
     if (ended.ran || ended.shed)
         m_lastEnd = now;
     if (!ended.ran)
-        return;
+        return std::nullopt;
     m_window = std::min<double>(m_options.slots + m_options.ahead, m_window + 1.0 / std::max(1.0, m_window));
-    measure(ended, now);
+    return measure(ended, now);
 }
 
 bool ServerGate::mayEndInTime(const Work& work, TimePoint now) const
--- a/src/core/ownership/key_keeper.cpp
+++ b/src/core/ownership/key_keeper.cpp
@@ -32,13 +32,16 @@
 {
 }
 
+KeyKeeper::Service KeyKeeper::newService(TimePoint now)
+{
+    return { {}, KeyLoad::create({}, now), ServerSpeeds::create({}, now), false };
+}
+
 KeyKeeper KeyKeeper::create(Options options, Epoch epoch, const KeyMap& recorded, TimePoint now)
 {
     KeyKeeper keeper(options, epoch, now);
     for (const auto& chunk : recorded.chunks()) {
-        auto& service
-            = keeper.m_services.try_emplace(chunk.first.service, Service { {}, KeyLoad::create({}, now), false })
-                  .first->second;
+        auto& service = keeper.m_services.try_emplace(chunk.first.service, newService(now)).first->second;
         for (const auto& it : chunk.second.owners) {
             Range range;
             range.keys = it.range;
@@ -239,16 +242,27 @@
 void KeyKeeper::onServices(const KeyServicesChanged& event, TimePoint now)
 {
     for (const auto& it : event.services)
-        m_services.try_emplace(it, Service { {}, KeyLoad::create({}, now), false });
+        m_services.try_emplace(it, newService(now));
 }
 
 void KeyKeeper::onLoad(const KeyLoadReported& event, TimePoint now)
 {
-    for (const auto& it : event.counts) {
+    for (const auto& it : event.report.keys) {
         auto service = m_services.find(it.first);
         if (service != m_services.end())
             service->second.load.add(it.second, now);
     }
+    std::map<ServiceName, std::map<ServerId, ServiceTimes>> times;
+    for (const auto& it : event.report.times) {
+        auto server = m_servers.find(it.first);
+        if (server != m_servers.end())
+            times[server->second.entry.service][it.first] = it.second;
+    }
+    for (const auto& it : times) {
+        auto service = m_services.find(it.first);
+        if (service != m_services.end())
+            service->second.speeds.add(it.second, now);
+    }
 }
 
 void KeyKeeper::onRunEnded(const ServerRun& run, TimePoint)
@@ -297,7 +311,7 @@
             continue;
         KeyPlacement::Server server;
         server.id = it.first;
-        server.capacity = std::max(1U, it.second.entry.slots);
+        server.capacity = std::max(1U, it.second.entry.slots) * service.speeds.speed(it.first);
         server.isUsable = it.second.standing == ServerStanding::ready;
         server.isNew = !owners.contains(it.first);
         input.servers.push_back(server);
--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -101,34 +101,103 @@
         return best;
     }
 
+    /// Finds the busiest key of a server's movable ranges.
+    std::optional<KeyRange> busiestKey(const KeyPlacement::Input& input, const ServerId& owner)
+    {
+        std::optional<KeyRange> best;
+        double bestRate = 0;
+        for (const auto& it : input.ranges) {
+            if (it.owner != owner || !it.isMovable)
+                continue;
+            auto end = input.load->rates().upper_bound(it.keys.to);
+            for (auto key = input.load->rates().lower_bound(it.keys.from); key != end; ++key) {
+                if (key->second > bestRate) {
+                    bestRate = key->second;
+                    best = KeyRange { key->first, key->first };
+                }
+            }
+        }
+        return best;
+    }
+
+    /// Finds the server that would be least loaded with some more weight.
+    ServerId bestTarget(const Paper& paper, const ServerId& except, double weight)
+    {
+        ServerId best;
+        double bestLoad = 0;
+        for (const auto& it : paper.usable()) {
+            auto load = (paper.rate(it) + weight) / paper.capacity(it);
+            if (it != except && (best.empty() || load < bestLoad)) {
+                best = it;
+                bestLoad = load;
+            }
+        }
+        return best;
+    }
+
+    /// Returns the larger relative load of the two servers after a move, over the giver's present one.
+    double effect(const Paper& paper, const ServerId& from, const ServerId& to, double weight)
+    {
+        auto giver = (paper.rate(from) - weight) / paper.capacity(from);
+        auto taker = (paper.rate(to) + weight) / paper.capacity(to);
+        return std::max(giver, taker) / paper.relative(from);
+    }
+
+    /// Finds the best move of load away from a server.
     std::optional<KeyPlacement::Move> moveFrom(const KeyPlacement::Options& options, const KeyPlacement::Input& input,
-        Paper& paper, const ServerId& top, const ServerId& bottom, bool toNewServer)
+        const Paper& paper, const ServerId& from)
     {
-        auto capacities = paper.capacity(top) + paper.capacity(bottom);
-        auto common = (paper.rate(top) + paper.rate(bottom)) / capacities;
-        auto wanted = paper.rate(top) - common * paper.capacity(top);
+        auto to = bestTarget(paper, from, 0);
+        auto common = (paper.rate(from) + paper.rate(to)) / (paper.capacity(from) + paper.capacity(to));
+        auto wanted = paper.rate(from) - common * paper.capacity(from);
         std::optional<KeyPlacement::Move> best;
         double bestDensity = 0;
-        const KeyPlacement::Range* widest = nullptr;
         for (const auto& it : input.ranges) {
-            if (it.owner != top || !it.isMovable)
+            if (it.owner != from || !it.isMovable)
                 continue;
-            if (!widest || it.keys.width() > widest->keys.width())
-                widest = &it;
             auto window = narrowest(paper, *input.load, it.keys, wanted, options.maxWidth);
-            if (!window)
+            if (!window || effect(paper, from, to, paper.weight(*window)) > options.leastEffect)
                 continue;
             auto density = paper.weight(*window) / window->width();
             if (!best || density > bestDensity) {
-                best = KeyPlacement::Move { *window, bottom };
+                best = KeyPlacement::Move { *window, to };
                 bestDensity = density;
             }
         }
-        if (!best && toNewServer && widest) {
+        if (best)
+            return best;
+        // One key that is too much for this server may be less so for a faster one.
+        auto key = busiestKey(input, from);
+        if (!key)
+            return std::nullopt;
+        auto weight = paper.weight(*key);
+        auto faster = bestTarget(paper, from, weight);
+        if (effect(paper, from, faster, weight) > options.leastEffect)
+            return std::nullopt;
+        return KeyPlacement::Move { *key, faster };
+    }
+
+    /// Gives a server without keys a share of the busiest server's, even if none is overloaded.
+    std::optional<KeyPlacement::Move> moveToNew(const KeyPlacement::Options& options, const KeyPlacement::Input& input,
+        const Paper& paper, const ServerId& from, const ServerId& to)
+    {
+        auto wanted = std::min(paper.rate(from) / 2, paper.mean() * paper.capacity(to));
+        const KeyPlacement::Range* widest = nullptr;
+        std::optional<KeyRange> best;
+        for (const auto& it : input.ranges) {
+            if (it.owner != from || !it.isMovable)
+                continue;
+            if (!widest || it.keys.width() > widest->keys.width())
+                widest = &it;
+            auto window = narrowest(paper, *input.load, it.keys, wanted, options.maxWidth);
+            if (window && (!best || paper.weight(*window) > paper.weight(*best)))
+                best = window;
+        }
+        if (!best && widest) {
             auto width = std::min(widest->keys.width(), options.maxWidth);
-            best = KeyPlacement::Move { { widest->keys.from, widest->keys.from + width - 1 }, bottom };
+            best = KeyRange { widest->keys.from, widest->keys.from + width - 1 };
         }
-        return best;
+        return best ? std::optional(KeyPlacement::Move { *best, to }) : std::nullopt;
     }
 
 } // namespace
@@ -181,31 +250,40 @@
     std::vector<Move> moves;
     if (paper.usable().size() < 2)
         return moves;
-    std::set<ServerId> newServers;
-    for (const auto& it : input.servers) {
-        if (it.isUsable && it.isNew)
-            newServers.insert(it.id);
-    }
-    auto less = [&](const ServerId& a, const ServerId& b) { return paper.relative(a) < paper.relative(b); };
-    while (input.movesInProgress + moves.size() < options.maxMoves) {
-        auto [low, high] = std::minmax_element(paper.usable().begin(), paper.usable().end(), less);
-        bool toNewServer = newServers.contains(*low);
-        auto mean = paper.mean();
-        auto excess = paper.relative(*high) - mean;
-        bool isOverloaded = paper.relative(*high) > mean * options.overload && excess > options.leastExcess;
-        if (*low == *high || (!isOverloaded && !toNewServer))
-            break;
-        auto move = moveFrom(options, input, paper, *high, *low, toNewServer);
-        if (!move)
-            break;
-        paper.shift(*high, *low, paper.weight(move->keys));
-        newServers.erase(*low);
+    auto mayMove = [&] { return input.movesInProgress + moves.size() < options.maxMoves; };
+    auto take = [&](Move move, const ServerId& from) {
+        paper.shift(from, move.to, paper.weight(move.keys));
         // A range takes part in one move at a time.
         for (auto& it : input.ranges) {
-            if (it.keys.contains(move->keys.from))
+            if (it.keys.contains(move.keys.from))
                 it.isMovable = false;
         }
-        moves.push_back(std::move(*move));
+        moves.push_back(std::move(move));
+    };
+    auto busiestFirst = [&] {
+        auto order = paper.usable();
+        std::sort(order.begin(), order.end(),
+            [&](const auto& a, const auto& b) { return paper.relative(a) > paper.relative(b); });
+        return order;
+    };
+    for (const auto& it : input.servers) {
+        if (!it.isUsable || !it.isNew || !mayMove())
+            continue;
+        auto from = busiestFirst().front();
+        auto move = from == it.id ? std::nullopt : moveToNew(options, input, paper, from, it.id);
+        if (move)
+            take(std::move(*move), from);
+    }
+    for (const auto& from : busiestFirst()) {
+        while (mayMove()) {
+            auto mean = paper.mean();
+            bool isOverloaded
+                = paper.relative(from) > mean * options.overload && paper.relative(from) - mean > options.leastExcess;
+            auto move = isOverloaded ? moveFrom(options, input, paper, from) : std::nullopt;
+            if (!move)
+                break;
+            take(std::move(*move), from);
+        }
     }
     return moves;
 }
--- /dev/null
+++ b/src/core/planning/server_speeds.cpp
@@ -0,0 +1,46 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace acaciagauge {
+
+namespace {
+
+    /// Requests below which a server's sum no longer matters.
+    constexpr double forgottenRequests = 0.05;
+
+} // namespace
+
+void ServerSpeeds::add(const std::map<ServerId, ServiceTimes>& times, TimePoint now)
+{
+    auto elapsed = static_cast<double>((now - m_decayedAt).count());
+    auto factor = std::exp(-elapsed / static_cast<double>(m_options.timeConstant.count()));
+    m_decayedAt = now;
+    for (auto& it : m_sums) {
+        it.second.requests *= factor;
+        it.second.micros *= factor;
+    }
+    std::erase_if(m_sums, [](const auto& it) { return it.second.requests < forgottenRequests; });
+    for (const auto& it : times) {
+        m_sums[it.first].requests += it.second.requests;
+        m_sums[it.first].micros += static_cast<double>(it.second.total.count());
+    }
+}
+
+double ServerSpeeds::speed(const ServerId& server) const
+{
+    auto it = m_sums.find(server);
+    if (it == m_sums.end())
+        return 1;
+    Sum all;
+    for (const auto& sum : m_sums) {
+        all.requests += sum.second.requests;
+        all.micros += sum.second.micros;
+    }
+    auto mean = all.micros / all.requests;
+    auto own = (it->second.micros + m_options.prior * mean) / (it->second.requests + m_options.prior);
+    return std::clamp(mean / own, m_options.slowest, m_options.fastest);
+}
+
+} // namespace acaciagauge
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -92,7 +92,7 @@
 
         kj::Promise<void> reportLoad(ReportLoadContext context) override
         {
-            m_loop.hooks.onLoad(fromWire(context.getParams().getLoads()));
+            m_loop.hooks.onLoad(fromWire(context.getParams().getReport()));
             return kj::READY_NOW;
         }
 
@@ -294,12 +294,11 @@
         tasks->add(sent.catch_([this, address](kj::Exception&& exception) { reachOf(address, exception); }));
     }
 
-    void sendLoad(
-        const std::string& address, const std::map<ServiceName, KeyCounts>& counts, std::function<void(RpcReach)> done)
+    void sendLoad(const std::string& address, const LoadReport& report, std::function<void(RpcReach)> done)
     {
-        auto sent = connect(address).then([this, counts, done](std::shared_ptr<Connection> connection) {
+        auto sent = connect(address).then([this, report, done](std::shared_ptr<Connection> connection) {
             auto request = connection->peer.reportLoadRequest();
-            toWire(counts, request.initLoads(static_cast<unsigned>(counts.size())));
+            toWire(report, request.initReport());
             auto answered = io->provider->getTimer().timeoutAfter(controlTimeout, request.send().ignoreResult());
             return answered
                 .then([done] { done(RpcReach::reached); },
@@ -411,11 +410,10 @@
     loop.post([&loop, address, shared] { loop.sendAnnounce(address, shared); });
 }
 
-void RpcNode::reportLoad(
-    const std::string& address, std::map<ServiceName, KeyCounts> counts, std::function<void(RpcReach)> done)
+void RpcNode::reportLoad(const std::string& address, LoadReport report, std::function<void(RpcReach)> done)
 {
     auto& loop = *m_loop;
-    loop.post([&loop, address, counts = std::move(counts), done] { loop.sendLoad(address, counts, done); });
+    loop.post([&loop, address, report = std::move(report), done] { loop.sendLoad(address, report, done); });
 }
 
 void RpcNode::changesSince(
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -19,7 +19,7 @@
         std::function<void(ForwardRequest, std::function<void(ForwardReply)>)> onForward;
         std::function<void(Digest, std::function<void(News)>)> onExchange;
         std::function<void(News)> onAnnounce;
-        std::function<void(std::map<ServiceName, KeyCounts>)> onLoad;
+        std::function<void(LoadReport)> onLoad;
         std::function<void(Revision, std::function<void(StoreDelta)>)> onChangesSince;
     };
 
@@ -43,9 +43,8 @@
     /// @brief Tells a peer news.
     void announce(const std::string& address, News news);
 
-    /// @brief Tells a peer which keys were asked for; `done` is told whether the peer was reached.
-    void reportLoad(
-        const std::string& address, std::map<ServiceName, KeyCounts> counts, std::function<void(RpcReach)> done);
+    /// @brief Tells a peer about the load; `done` is told whether the peer was reached.
+    void reportLoad(const std::string& address, LoadReport report, std::function<void(RpcReach)> done);
 
     /// @brief Asks a peer for what its copy of the store has beyond a revision; nothing if it does not answer.
     void changesSince(
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -295,11 +295,19 @@
     return news;
 }
 
-void toWire(const std::map<ServiceName, KeyCounts>& loads, capnp::List<wire::ServiceLoad>::Builder out)
+void toWire(const LoadReport& report, wire::LoadReport::Builder out)
 {
+    auto times = out.initTimes(static_cast<unsigned>(report.times.size()));
     unsigned n = 0;
-    for (const auto& it : loads) {
-        auto load = out[n++];
+    for (const auto& it : report.times) {
+        times[n].setServer(it.first);
+        times[n].setRequests(it.second.requests);
+        times[n++].setTotalMicros(static_cast<std::uint64_t>(it.second.total.count()));
+    }
+    auto loads = out.initKeys(static_cast<unsigned>(report.keys.size()));
+    n = 0;
+    for (const auto& it : report.keys) {
+        auto load = loads[n++];
         load.setService(it.first);
         auto counts = load.initCounts(static_cast<unsigned>(it.second.size()));
         unsigned k = 0;
@@ -310,17 +318,19 @@
     }
 }
 
-std::map<ServiceName, KeyCounts> fromWire(capnp::List<wire::ServiceLoad>::Reader in)
+LoadReport fromWire(wire::LoadReport::Reader in)
 {
-    std::map<ServiceName, KeyCounts> loads;
-    for (auto it : in) {
-        auto& counts = loads[it.getService()];
+    LoadReport report;
+    for (auto it : in.getTimes())
+        report.times[it.getServer()] = { it.getRequests(), Duration(static_cast<Duration::rep>(it.getTotalMicros())) };
+    for (auto it : in.getKeys()) {
+        auto& counts = report.keys[it.getService()];
         for (auto count : it.getCounts()) {
             if (count.getKey() <= lastKey)
                 counts[count.getKey()] += count.getRequests();
         }
     }
-    return loads;
+    return report;
 }
 
 void toWire(const StoreDelta& delta, wire::StoreDelta::Builder out)
--- a/src/daemon/wire.hpp
+++ b/src/daemon/wire.hpp
@@ -17,8 +17,8 @@
 Digest fromWire(wire::Digest::Reader in);
 void toWire(const News& news, wire::News::Builder out);
 News fromWire(wire::News::Reader in);
-void toWire(const std::map<ServiceName, KeyCounts>& loads, capnp::List<wire::ServiceLoad>::Builder out);
-std::map<ServiceName, KeyCounts> fromWire(capnp::List<wire::ServiceLoad>::Reader in);
+void toWire(const LoadReport& report, wire::LoadReport::Builder out);
+LoadReport fromWire(wire::LoadReport::Reader in);
 void toWire(const StoreDelta& delta, wire::StoreDelta::Builder out);
 StoreDelta fromWire(wire::StoreDelta::Reader in);
 /// @}
--- a/src/entry/controller_duty.cpp
+++ b/src/entry/controller_duty.cpp
@@ -35,8 +35,8 @@
     /// Time for a release: the server answers when the work on the keys has ended.
     constexpr auto releaseTimeout = std::chrono::milliseconds(4000);
 
-    /// Interval of telling the controller which keys were asked for.
-    constexpr auto reportInterval = std::chrono::milliseconds(500);
+    /// Interval of telling the controller about the load.
+    constexpr auto reportInterval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -64,7 +64,7 @@
 void ControllerDuty::start()
 {
     asio::co_spawn(m_context, run(), asio::detached);
-    asio::co_spawn(m_context, reportCounts(), asio::detached);
+    asio::co_spawn(m_context, reportLoad(), asio::detached);
 }
 
 awaitable<void> ControllerDuty::run()
@@ -367,24 +367,19 @@
         depose("the store names another controller");
 }
 
-void ControllerDuty::takeCounts(std::map<ServiceName, KeyCounts> counts)
-{
-    tell(KeyLoadReported { std::move(counts) });
-}
-
-awaitable<void> ControllerDuty::reportCounts()
+awaitable<void> ControllerDuty::reportLoad()
 {
     while (!m_leaving) {
         co_await sleepFor(m_context, reportInterval);
-        if (m_counts.empty())
-            continue;
-        auto counts = std::move(m_counts);
+        LoadReport report { std::move(m_counts), m_hooks.takeTimes() };
         m_counts.clear();
+        if (report.keys.empty() && report.times.empty())
+            continue;
         if (m_actor) {
-            takeCounts(std::move(counts));
+            takeReport(std::move(report));
         } else if (m_catalog.controller()) {
             auto address = m_catalog.controller()->rpcAddress;
-            m_hooks.rpc().reportLoad(address, std::move(counts), [address](daemon::RpcReach reach) {
+            m_hooks.rpc().reportLoad(address, std::move(report), [address](daemon::RpcReach reach) {
                 if (reach != daemon::RpcReach::reached)
                     logEvent(LogLevel::debug, LogEvent::loadUnreported, { { "controller", address } });
             });
--- a/src/entry/controller_duty.hpp
+++ b/src/entry/controller_duty.hpp
@@ -29,6 +29,7 @@
 public:
     struct Hooks {
         std::function<daemon::RpcNode&()> rpc;
+        std::function<std::map<ServerId, ServiceTimes>()> takeTimes;
         daemon::Metrics* metrics = nullptr;
     };
 
@@ -43,8 +44,8 @@
     /// @brief Counts a request for a key; the controller is told.
     void countKey(const ServiceName& service, KeyNumber key) { ++m_counts[service][key]; }
 
-    /// @brief Takes what another instance counted.
-    void takeCounts(std::map<ServiceName, KeyCounts> counts);
+    /// @brief Takes what another instance saw of the load.
+    void takeReport(LoadReport report) { tell(KeyLoadReported { std::move(report) }); }
 
     [[nodiscard]] bool isController() const { return m_actor != nullptr; }
 
@@ -55,7 +56,7 @@
     boost::asio::awaitable<bool> confirm(ports::StoreWriteReply reply, const ControllerRecord& wanted);
     boost::asio::awaitable<void> rule();
     boost::asio::awaitable<void> keepLease();
-    boost::asio::awaitable<void> reportCounts();
+    boost::asio::awaitable<void> reportLoad();
     boost::asio::awaitable<void> sendGrant(SendKeyGrant order);
     boost::asio::awaitable<void> sendRelease(SendKeyRelease order);
     boost::asio::awaitable<void> writeChunks(WriteOwnerChunks write);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -77,6 +77,7 @@
 {
     ControllerDuty::Hooks hooks;
     hooks.rpc = [this]() -> daemon::RpcNode& { return *m_rpc; };
+    hooks.takeTimes = [this] { return m_requests.takeTimes(); };
     hooks.metrics = m_metrics.get();
     return hooks;
 }
@@ -180,8 +181,8 @@
     };
     hooks.onExchange = [](Digest, std::function<void(News)> done) { done({}); };
     hooks.onAnnounce = [](News) {};
-    hooks.onLoad = [this](std::map<ServiceName, KeyCounts> counts) {
-        asio::post(m_context, [this, counts = std::move(counts)] { m_controller.takeCounts(counts); });
+    hooks.onLoad = [this](LoadReport report) {
+        asio::post(m_context, [this, report = std::move(report)] { m_controller.takeReport(report); });
     };
     hooks.onChangesSince = [this](Revision revision, std::function<void(StoreDelta)> done) {
         asio::post(m_context, [this, revision, done] { done(m_catalog.mirror().since(revision)); });
--- a/src/entry/request_path.hpp
+++ b/src/entry/request_path.hpp
@@ -31,6 +31,9 @@
 
     void setRetries(RetryShare::Options options) { m_retries.setOptions(options); }
 
+    /// @brief Returns what the servers' answers took since the last call.
+    std::map<ServerId, ServiceTimes> takeTimes() { return m_upstreams.takeTimes(); }
+
     /// @brief Forgets what belongs to servers that are gone.
     void prune() { m_upstreams.prune(); }
 
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -182,10 +182,21 @@
         it->second.silences = 0;
         it->second.leftAloneUntil = {};
     }
-    it->second.gate.ended(work, ended, monotonicNow());
+    auto time = it->second.gate.ended(work, ended, monotonicNow());
+    if (time) {
+        ++m_times[server].requests;
+        m_times[server].total += *time;
+    }
     wake(it->second);
 }
 
+std::map<ServerId, ServiceTimes> Upstreams::takeTimes()
+{
+    auto times = std::move(m_times);
+    m_times.clear();
+    return times;
+}
+
 void Upstreams::prune()
 {
     std::erase_if(m_upstreams, [this](const auto& it) {
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -37,6 +37,9 @@
     /// @brief Returns the expected time until a request sent now would be answered.
     [[nodiscard]] Duration expectedTime(const ServerId& server) const;
 
+    /// @brief Returns what the servers' answers took since the last call.
+    std::map<ServerId, ServiceTimes> takeTimes();
+
     /// @brief Forgets servers that are no longer in the catalog.
     void prune();
 
@@ -68,6 +71,7 @@
     DomainId m_domain;
     Catalog& m_catalog;
     std::map<ServerId, Upstream> m_upstreams;
+    std::map<ServerId, ServiceTimes> m_times;
     std::uint64_t m_lastWork = 0;
     std::mt19937_64 m_random { std::random_device {}() };
 };
