--- a/include/acaciagauge/detail/ownership/key_keeper.hpp
+++ b/include/acaciagauge/detail/ownership/key_keeper.hpp
@@ -13,7 +13,7 @@
 /// @brief Fence of a grant as servers compare it. Epochs go before sequences.
 using PackedFence = std::uint64_t;
 
-/// @brief Packs an epoch and a sequence below 2^20 into one number below 2^53.
+/// @brief Packs an epoch and a sequence below 2^32 into one number; below 2^53 for epochs below 2^21.
 PackedFence packFence(const Fence& fence);
 
 /// @brief How an order to a server ended.
@@ -131,6 +131,7 @@
         Duration retryAfter = std::chrono::milliseconds(250); ///< Wait after an order that failed.
         Duration settleTime
             = std::chrono::milliseconds(1200); ///< A service is first divided this long after its last new server.
+        std::size_t maxGrants = 2; ///< Grants in progress at one server.
         std::size_t maxReleases = 8; ///< Releases in progress at one server.
         KeyPlacement::Options placement;
         Duration planEvery = std::chrono::milliseconds(300); ///< Interval of looking for moves.
@@ -200,7 +201,9 @@
     void loseReplaced();
     static Service newService(TimePoint now);
     bool step(Range& range, RangeEvent event);
+    void advanceAll(const ServiceName& name, Service& service, TimePoint now);
     void advance(const ServiceName& name, Service& service, Range& range, TimePoint now);
+    static void mergeNeighbours(Service& service);
     void assign(const ServiceName& name, Service& service, Range& range, TimePoint now);
     void leaveServer(const ServiceName& name, Service& service, Range& range, const std::string& reason, TimePoint now);
     void sendGrant(const ServiceName& name, Range& range, TimePoint now);
--- a/src/core/ownership/key_keeper.cpp
+++ b/src/core/ownership/key_keeper.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr unsigned sequenceBits = 20;
+    constexpr unsigned sequenceBits = 32;
 
     /// Chunks in one write: the store takes at most 32 rows, one for the controller's key and two for each chunk.
     constexpr std::size_t maxChunksPerWrite = 15;
@@ -123,7 +123,7 @@
 {
     const auto& inFlight = isRelease ? m_releasesInFlight : m_grantsInFlight;
     auto it = inFlight.find(server);
-    return it == inFlight.end() || it->second < (isRelease ? m_options.maxReleases : 1);
+    return it == inFlight.end() || it->second < (isRelease ? m_options.maxReleases : m_options.maxGrants);
 }
 
 void KeyKeeper::onTick(TimePoint now)
@@ -133,19 +133,59 @@
         if (!service.isDivided)
             divide(it.first, service, now);
         splitLeaving(service);
-        for (auto& range : service.ranges)
-            advance(it.first, service, range.second, now);
+        advanceAll(it.first, service, now);
     }
     if (now >= m_nextPlan) {
         m_nextPlan = now + m_options.planEvery;
         for (auto& it : m_services) {
-            if (it.second.isDivided)
-                planMoves(it.first, it.second, now);
+            if (!it.second.isDivided)
+                continue;
+            mergeNeighbours(it.second);
+            planMoves(it.first, it.second, now);
         }
     }
     writeChunks(now);
 }
 
+// A server's orders go out one after the other: those that have waited longest first, or the last ranges would starve.
+void KeyKeeper::advanceAll(const ServiceName& name, Service& service, TimePoint now)
+{
+    std::vector<Range*> order;
+    order.reserve(service.ranges.size());
+    for (auto& it : service.ranges)
+        order.push_back(&it.second);
+    std::stable_sort(
+        order.begin(), order.end(), [](const auto* a, const auto* b) { return a->nextOrder < b->nextOrder; });
+    for (auto* it : order)
+        advance(name, service, *it, now);
+}
+
+// Neighbours with one owner need one renewal, not two.
+void KeyKeeper::mergeNeighbours(Service& service)
+{
+    auto isAtRest = [](const Range& range) {
+        return range.state == RangeState::held && range.order == 0 && !range.target && !range.mayReturn;
+    };
+    for (auto it = service.ranges.begin(); it != service.ranges.end();) {
+        auto next = std::next(it);
+        if (next == service.ranges.end())
+            return;
+        auto& left = it->second;
+        const auto& right = next->second;
+        bool isOne = isAtRest(left) && isAtRest(right) && left.owner == right.owner
+            && chunkOf(left.keys) == chunkOf(right.keys);
+        if (!isOne) {
+            it = next;
+            continue;
+        }
+        left.keys.to = right.keys.to;
+        left.fence = std::max(left.fence, right.fence);
+        left.heldUntil = std::max(left.heldUntil, right.heldUntil);
+        left.nextOrder = std::min(left.nextOrder, right.nextOrder);
+        service.ranges.erase(next);
+    }
+}
+
 TimePoint KeyKeeper::nextDue(TimePoint now) const
 {
     // Bounds the sleep so that a clock that was suspended is noticed soon after.
@@ -502,8 +542,9 @@
         range.nextOrder = now + m_options.retryAfter;
         return;
     }
-    if (range.fence == 0 || !range.isFenceUsed || range.mayReturn)
-        freshFence(range);
+    // The process may have been started again under its id, unnoticed so far: another run needs a higher fence, and a
+    // renewal cannot be told from a first grant there. A fence that always rises also outdates every late order.
+    freshFence(range);
     range.order = ++m_lastOrder;
     range.isRelease = false;
     range.isFenceUsed = true;
