--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <kj/encoding.h>
 #include <nlohmann/json.hpp>
+#include <random>
 
 using namespace acaciagauge;
 using namespace acaciagauge::net;
@@ -52,22 +53,16 @@
     {
     }
 
-    void put(const std::string& key, const std::string& value, std::uint64_t lease = 0)
+    void put(const std::string& key, const std::string& value)
     {
-        auto& item = m_items[key];
-        item.revision = ++m_revision;
-        item.created = item.created ? item.created : m_revision;
-        item.lease = lease;
-        item.value = value;
-        note(itemJson(key, item));
+        ++m_revision;
+        set(key, value, 0);
     }
 
     void remove(const std::string& key)
     {
-        if (m_items.erase(key) == 0)
-            return;
         ++m_revision;
-        note({ { "key", key }, { "revision", m_revision }, { "removed", true } });
+        erase(key);
     }
 
     void forgetHistory()
@@ -119,6 +114,23 @@
         std::uint64_t lease = 0;
     };
 
+    // A transaction has one revision, however many keys it writes.
+    void set(const std::string& key, const std::string& value, std::uint64_t lease)
+    {
+        auto& item = m_items[key];
+        item.revision = m_revision;
+        item.created = item.created ? item.created : m_revision;
+        item.lease = lease;
+        item.value = value;
+        note(itemJson(key, item));
+    }
+
+    void erase(const std::string& key)
+    {
+        if (m_items.erase(key) > 0)
+            note({ { "key", key }, { "revision", m_revision }, { "removed", true } });
+    }
+
     static std::string encode(const std::string& value)
     {
         return kj::encodeBase64(kj::arrayPtr(reinterpret_cast<const kj::byte*>(value.data()), value.size())).cStr();
@@ -195,15 +207,16 @@
             if (lease != 0 && !m_leases.contains(lease))
                 return jsonAnswer(404, Json::object());
         }
+        ++m_revision;
         for (const auto& it : body.at("puts")) {
             auto text = it.at("value").get<std::string>();
             auto bytes = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
-            put(it.at("key").get<std::string>(),
+            set(it.at("key").get<std::string>(),
                 std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size()),
                 it.value("lease", std::uint64_t { 0 }));
         }
         for (const auto& it : body.at("remove"))
-            remove(it.get<std::string>());
+            erase(it.get<std::string>());
         return jsonAnswer(200, { { "revision", m_revision } });
     }
 
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -4,6 +4,8 @@
 
 #include "e2e/cluster.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
