--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -1,7 +1,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 
 #include <algorithm>
-#include <numeric>
+#include <cmath>
 
 namespace acaciagauge {
 
@@ -215,7 +215,7 @@
     KeyNumber next = 0;
     for (const auto& it : servers) {
         reached += it.capacity;
-        auto end = static_cast<KeyNumber>(reached / total * (lastKey + 1.0) + 0.5);
+        auto end = static_cast<KeyNumber>(std::lround(reached / total * (lastKey + 1.0)));
         if (&it == &servers.back())
             end = lastKey + 1;
         while (next < end) {
