--- a/include/acaciagauge/detail/ownership/key_keeper.hpp
+++ b/include/acaciagauge/detail/ownership/key_keeper.hpp
@@ -196,7 +196,7 @@
     void onOrderEnded(const KeyOrderEnded& event, TimePoint now);
     void onRecordEnded(const KeyRecordEnded& event, TimePoint now);
     void onLoad(const KeyLoadReported& event, TimePoint now);
-    void onRunEnded(const ServerRun& run, TimePoint now);
+    void onRunEnded(const ServerRun& run);
 
     void loseReplaced();
     static Service newService(TimePoint now);
@@ -204,8 +204,8 @@
     void advanceAll(const ServiceName& name, Service& service, TimePoint now);
     void advance(const ServiceName& name, Service& service, Range& range, TimePoint now);
     static void mergeNeighbours(Service& service);
-    void assign(const ServiceName& name, Service& service, Range& range, TimePoint now);
-    void leaveServer(const ServiceName& name, Service& service, Range& range, const std::string& reason, TimePoint now);
+    void assign(const ServiceName& name, const Service& service, Range& range);
+    void leaveServer(const ServiceName& name, Range& range, TimePoint now);
     void sendGrant(const ServiceName& name, Range& range, TimePoint now);
     void sendRelease(const ServiceName& name, Range& range, TimePoint now);
     void sendFencingGrant(const ServiceName& name, Range& range, TimePoint now);
--- a/src/core/ownership/key_keeper.cpp
+++ b/src/core/ownership/key_keeper.cpp
@@ -95,7 +95,7 @@
     else if (const auto* load = std::get_if<KeyLoadReported>(&event))
         onLoad(*load, now);
     else if (const auto* run = std::get_if<KeyRunEnded>(&event))
-        onRunEnded(run->run, now);
+        onRunEnded(run->run);
     if (!std::holds_alternative<KeyLoadReported>(event))
         onTick(now);
     return std::move(m_actions);
@@ -305,7 +305,7 @@
     }
 }
 
-void KeyKeeper::onRunEnded(const ServerRun& run, TimePoint)
+void KeyKeeper::onRunEnded(const ServerRun& run)
 {
     for (auto& service : m_services) {
         for (auto& it : service.second.ranges) {
@@ -416,18 +416,14 @@
 
 void KeyKeeper::advance(const ServiceName& name, Service& service, Range& range, TimePoint now)
 {
-    bool isOwned = range.state == RangeState::granting || range.state == RangeState::held
-        || range.state == RangeState::releasing;
-    if (isOwned && range.order == 0 && now >= range.heldUntil && range.state != RangeState::held) {
-        bool wasGranted = range.state == RangeState::releasing;
-        if (wasGranted) {
-            step(range, RangeEvent::expired);
-            decide(name, range, "expired", "the server's grants have run out");
-        }
+    bool isWaitedOut = range.state == RangeState::releasing && range.order == 0 && now >= range.heldUntil;
+    if (isWaitedOut) {
+        step(range, RangeEvent::expired);
+        decide(name, range, "expired", "the server's grants have run out");
     }
     switch (range.state) {
     case RangeState::unowned:
-        assign(name, service, range, now);
+        assign(name, service, range);
         break;
     case RangeState::recording: {
         bool isRecorded = m_chunks[{ name, chunkOf(range.keys) }].written >= range.recordNumber;
@@ -442,7 +438,7 @@
     case RangeState::granting:
     case RangeState::held:
         if (!usable(range.owner))
-            leaveServer(name, service, range, "the server is leaving or gone", now);
+            leaveServer(name, range, now);
         else if (now >= range.nextOrder)
             sendGrant(name, range, now);
         break;
@@ -463,7 +459,7 @@
     }
 }
 
-void KeyKeeper::assign(const ServiceName& name, Service& service, Range& range, TimePoint)
+void KeyKeeper::assign(const ServiceName& name, const Service& service, Range& range)
 {
     auto isUsable = [&](const ServerId& id) {
         auto it = m_servers.find(id);
@@ -490,7 +486,7 @@
     decide(name, range, "assign", range.handover.empty() ? "without handover" : "with handover");
 }
 
-void KeyKeeper::leaveServer(const ServiceName& name, Service&, Range& range, const std::string& reason, TimePoint now)
+void KeyKeeper::leaveServer(const ServiceName& name, Range& range, TimePoint now)
 {
     if (range.order != 0)
         return;
@@ -499,7 +495,7 @@
         step(range, RangeEvent::expired);
         return;
     }
-    decide(name, range, "release", reason);
+    decide(name, range, "release", "the server is leaving or gone");
     step(range, RangeEvent::moveAsked);
     range.nextOrder = now;
 }
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -35,7 +35,7 @@
     /// @brief Returns true once the whole store was read.
     [[nodiscard]] bool isLoaded() const { return m_mirror.at() > 0; }
 
-    /// @brief Returns since when the store has answered; nothing while it does not.
+    /// @brief Returns true if the store answered the last calls.
     [[nodiscard]] bool isStoreAvailable() const { return m_isStoreAvailable; }
 
     /// @brief Raised after every change.
--- a/src/entry/store_link.hpp
+++ b/src/entry/store_link.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "daemon/metrics.hpp"
 #include "daemon/rpc_node.hpp"
 #include "entry/catalog.hpp"
 
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -85,11 +85,22 @@
 {
     auto limits = m_server->limits();
     auto elapsed = now - m_phaseSince;
-    bool isIdleOver = m_phase == Phase::idle && m_calls.empty() && elapsed > limits.idleTimeout;
-    bool isReading = m_phase == Phase::header || m_phase == Phase::body;
-    bool isLingerOver = m_phase == Phase::closing && m_calls.empty() && elapsed > lingerTime;
-    if (isIdleOver || (isReading && elapsed > limits.headerTimeout + limits.idleTimeout) || isLingerOver
-        || (m_phase == Phase::header && elapsed > limits.headerTimeout))
+    bool isOverdue = false;
+    switch (m_phase) {
+    case Phase::idle:
+        isOverdue = m_calls.empty() && elapsed > limits.idleTimeout;
+        break;
+    case Phase::header:
+        isOverdue = elapsed > limits.headerTimeout;
+        break;
+    case Phase::body:
+        isOverdue = elapsed > limits.headerTimeout + limits.idleTimeout;
+        break;
+    case Phase::closing:
+        isOverdue = m_calls.empty() && elapsed > lingerTime;
+        break;
+    }
+    if (isOverdue)
         callerLeft();
 }
 
