--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -220,7 +220,7 @@
 
 TEST_CASE("requests find their keys' owners through restarts, drains and a lost controller")
 {
-    PlatformCluster cluster(24100);
+    PlatformCluster cluster(31100);
     REQUIRE(cluster.waitServing());
     std::vector<Answer> answers;
     auto load = [&](int n) {
@@ -247,7 +247,7 @@
 
 TEST_CASE("keys are served through an outage of the store, and late or lost orders give no key two owners")
 {
-    PlatformCluster cluster(24200);
+    PlatformCluster cluster(31200);
     REQUIRE(cluster.waitServing());
     std::vector<Answer> answers;
     auto load = [&](int n) {
@@ -273,7 +273,7 @@
 
 TEST_CASE("a daemon that cannot reach the store learns the desired state from its peers")
 {
-    PlatformCluster cluster(24300);
+    PlatformCluster cluster(31300);
     REQUIRE(cluster.waitServing());
     auto last = daemons - 1;
     cluster.storeRelay().cut();
@@ -288,7 +288,7 @@
 
 TEST_CASE("a daemon that is told to leave answers all that it took and exits in order")
 {
-    PlatformCluster cluster(24400);
+    PlatformCluster cluster(31400);
     REQUIRE(cluster.waitServing());
     std::vector<Answer> answers;
     cluster.signal("d0", SIGTERM);
