One instance of each failure domain watches the store; the others follow it

Cause: every instance watched the store.

Change: StoreSources (pure) names the watchers of a domain by rendezvous order; the others follow one with changesSince, which now waits for news and tells how old the answerer's knowledge is. A source that is silent for 750 ms or knows nothing younger than a second is left out for 5 s, its follower reads the store once and takes the next. The relay from random peers during outages is gone: a turned-away instance follows a peer by the same rule. A watch without an answer leaves no gap, so the store is no longer read whole after it.

Test: test_store_sources; test_platform_path asks the cut instance, made the watcher by its domain's name, for another source than the store, in place of storeAvailable, which now also holds while a peer's knowledge is fresh; new: watchers paused and killed.

--- a/include/acaciagauge/detail/store/store_mirror.hpp
+++ b/include/acaciagauge/detail/store/store_mirror.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "acaciagauge/detail/common/time.hpp"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -32,6 +34,12 @@
     std::vector<StoreChange> changes;
 };
 
+/// @brief What a peer knows of the store beyond some revision, and how fresh its knowledge is.
+struct StoreNews {
+    StoreDelta delta;
+    Duration age { 0 }; ///< Since the store last confirmed that nothing newer exists.
+};
+
 /// @brief Copy of the store's keys in memory. Orders all changes by revision and never goes back.
 class StoreMirror {
 public:
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -158,6 +158,7 @@
   exchange @2 (digest :Digest) -> (news :News);
   announce @3 (news :News) -> ();
   reportLoad @4 (report :LoadReport) -> ();
-  # What the store's copy of the asked instance has beyond a revision.
-  changesSince @5 (revision :UInt64) -> (delta :StoreDelta);
+  # What the store's copy of the asked instance has beyond a revision. Without news the answer comes after the wait;
+  # ageMicros is the time since the store last confirmed that nothing newer exists.
+  changesSince @5 (revision :UInt64, waitMillis :UInt32) -> (delta :StoreDelta, ageMicros :UInt64);
 }
--- /dev/null
+++ b/src/core/relay/store_sources.cpp
@@ -0,0 +1,72 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+
+namespace acaciagauge {
+
+StoreSources::StoreSources(Options options, InstanceId self, DomainId domain)
+    : m_options(options)
+    , m_self(std::move(self))
+    , m_domain(std::move(domain))
+    , m_near { m_self }
+{
+}
+
+StoreSources StoreSources::create(Options options, InstanceId self, DomainId domain)
+{
+    return { options, std::move(self), std::move(domain) };
+}
+
+void StoreSources::setPeers(std::vector<Peer> peers)
+{
+    std::vector<InstanceId> near { m_self };
+    std::vector<InstanceId> far;
+    m_peers.clear();
+    for (auto& it : peers) {
+        if (it.id == m_self)
+            continue;
+        (it.domain == m_domain ? near : far).push_back(it.id);
+        m_peers[it.id] = std::move(it);
+    }
+    m_near = rendezvousOrder(m_domain, std::move(near));
+    m_far = rendezvousOrder(m_self, std::move(far));
+}
+
+bool StoreSources::isSuspect(const InstanceId& id, TimePoint now) const
+{
+    auto it = m_suspectUntil.find(id);
+    return it != m_suspectUntil.end() && now < it->second;
+}
+
+void StoreSources::suspect(const InstanceId& id, TimePoint now)
+{
+    std::erase_if(m_suspectUntil, [now](const auto& it) { return now >= it.second; });
+    m_suspectUntil[id] = now + m_options.suspicion;
+}
+
+std::vector<InstanceId> StoreSources::trusted(
+    const std::vector<InstanceId>& order, std::size_t looked, TimePoint now) const
+{
+    std::vector<InstanceId> found;
+    for (std::size_t n = 0; n < std::min(looked, order.size()); ++n) {
+        if (!isSuspect(order[n], now))
+            found.push_back(order[n]);
+    }
+    return found;
+}
+
+std::optional<StoreSources::Peer> StoreSources::pick(TimePoint now) const
+{
+    auto wanted = 1 + (m_near.size() - 1) / std::max<std::size_t>(1, m_options.followersPerWatcher);
+    auto watchers = trusted(m_near, wanted + m_options.spares, now);
+    watchers.resize(std::min(watchers.size(), wanted));
+    bool isWatcher = std::find(watchers.begin(), watchers.end(), m_self) != watchers.end();
+    if (isWatcher)
+        return std::nullopt;
+    if (!watchers.empty())
+        return m_peers.at(rendezvousOrder(m_self, watchers).front());
+    auto far = trusted(m_far, m_options.spares, now);
+    return far.empty() ? std::nullopt : std::optional(m_peers.at(far.front()));
+}
+
+} // namespace acaciagauge
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -72,6 +72,10 @@
             return "serverGone";
         case LogEvent::storeRelayed:
             return "storeRelayed";
+        case LogEvent::storeSource:
+            return "storeSource";
+        case LogEvent::storeSourceLost:
+            return "storeSourceLost";
         case LogEvent::storeCallFailed:
             return "storeCallFailed";
         case LogEvent::requestDone:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -36,6 +36,8 @@
     storeAvailable = 302,
     storeRelayed = 303,
     storeCallFailed = 304,
+    storeSource = 305,
+    storeSourceLost = 306,
     requestUnknownOutcome = 401,
     requestDone = 402,
     requestRefused = 403,
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -21,7 +21,8 @@
 
     constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
     constexpr auto controlTimeout = 2 * kj::SECONDS;
-    constexpr auto changesTimeout = 500 * kj::MILLISECONDS;
+    /// Added to the wait that a peer is asked for: a round trip and a busy machine.
+    constexpr auto changesSlack = 250 * kj::MILLISECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
     std::string textOf(const kj::Exception& exception)
@@ -99,10 +100,14 @@
         kj::Promise<void> changesSince(ChangesSinceContext context) override
         {
             auto revision = context.getParams().getRevision();
-            auto answer = m_loop.awaitFromOutside<StoreDelta>(
-                [&](std::function<void(StoreDelta)> done) { m_loop.hooks.onChangesSince(revision, std::move(done)); });
-            return answer.then(
-                [context](StoreDelta delta) mutable { toWire(delta, context.getResults().initDelta()); });
+            auto wait = std::chrono::milliseconds(context.getParams().getWaitMillis());
+            auto answer = m_loop.awaitFromOutside<StoreNews>([&](std::function<void(StoreNews)> done) {
+                m_loop.hooks.onChangesSince(revision, wait, std::move(done));
+            });
+            return answer.then([context](StoreNews news) mutable {
+                toWire(news.delta, context.getResults().initDelta());
+                context.getResults().setAgeMicros(static_cast<std::uint64_t>(news.age.count()));
+            });
         }
 
     private:
@@ -312,17 +317,19 @@
             sent.catch_([this, address, done](kj::Exception&& exception) { done(reachOf(address, exception)); }));
     }
 
-    void sendChangesSince(
-        const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done)
+    void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+        std::function<void(std::optional<StoreNews>)> done)
     {
-        auto sent = connect(address).then([this, revision, done](std::shared_ptr<Connection> connection) {
+        auto sent = connect(address).then([this, revision, wait, done](std::shared_ptr<Connection> connection) {
             auto call = connection->peer.changesSinceRequest();
             call.setRevision(revision);
+            call.setWaitMillis(static_cast<std::uint32_t>(wait.count()));
             return io->provider->getTimer()
-                .timeoutAfter(changesTimeout, call.send())
+                .timeoutAfter(wait.count() * kj::MILLISECONDS + changesSlack, call.send())
                 .then(
                     [done](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
-                        done(fromWire(results.getDelta()));
+                        auto age = std::chrono::microseconds(results.getAgeMicros());
+                        done(StoreNews { fromWire(results.getDelta()), age });
                     },
                     [this, connection, done](kj::Exception&&) {
                         breakConnection(connection);
@@ -416,11 +423,11 @@
     loop.post([&loop, address, report = std::move(report), done] { loop.sendLoad(address, report, done); });
 }
 
-void RpcNode::changesSince(
-    const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done)
+void RpcNode::changesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+    std::function<void(std::optional<StoreNews>)> done)
 {
     auto& loop = *m_loop;
-    loop.post([&loop, address, revision, done] { loop.sendChangesSince(address, revision, done); });
+    loop.post([&loop, address, revision, wait, done] { loop.sendChangesSince(address, revision, wait, done); });
 }
 
 } // namespace acaciagauge::daemon
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -20,7 +20,7 @@
         std::function<void(Digest, std::function<void(News)>)> onExchange;
         std::function<void(News)> onAnnounce;
         std::function<void(LoadReport)> onLoad;
-        std::function<void(Revision, std::function<void(StoreDelta)>)> onChangesSince;
+        std::function<void(Revision, std::chrono::milliseconds wait, std::function<void(StoreNews)>)> onChangesSince;
     };
 
     /// @brief Starts the thread and listens.
@@ -46,9 +46,11 @@
     /// @brief Tells a peer about the load; `done` is told whether the peer was reached.
     void reportLoad(const std::string& address, LoadReport report, std::function<void(RpcReach)> done);
 
-    /// @brief Asks a peer for what its copy of the store has beyond a revision; nothing if it does not answer.
-    void changesSince(
-        const std::string& address, Revision revision, std::function<void(std::optional<StoreDelta>)> done);
+    /// @brief Asks a peer for what its copy of the store has beyond a revision.
+    /// @param wait the peer answers after this time if it has nothing new
+    /// @param done is told nothing if the peer does not answer
+    void changesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+        std::function<void(std::optional<StoreNews>)> done);
 
 private:
     struct Loop;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -46,7 +46,7 @@
     , m_ports(std::move(ports))
     , m_metrics(daemon::Metrics::create())
     , m_catalog(context, m_ports.documents)
-    , m_link(context, m_ports.store, m_catalog, linkHooks())
+    , m_link(context, selfRecord(), m_ports.store, m_catalog, linkHooks())
     , m_membership(context, selfRecord(), m_ports.store)
     , m_controller(
           context, selfRecord(), m_ports.store, m_ports.orders, m_catalog, m_link, keeperOptions(), controllerHooks())
@@ -63,7 +63,6 @@
 {
     StoreLink::Hooks hooks;
     hooks.rpc = [this]() -> daemon::RpcNode& { return *m_rpc; };
-    hooks.self = m_settings.instance;
     // Ports are the same on all instances; seeds name another port of theirs.
     for (const auto& it : m_settings.seeds) {
         auto seed = ipOf(it) + ":" + portOf(m_settings.rpcAddress);
@@ -184,9 +183,14 @@
     hooks.onLoad = [this](LoadReport report) {
         asio::post(m_context, [this, report = std::move(report)] { m_controller.takeReport(report); });
     };
-    hooks.onChangesSince = [this](Revision revision, std::function<void(StoreDelta)> done) {
-        asio::post(m_context, [this, revision, done] { done(m_catalog.mirror().since(revision)); });
-    };
+    hooks.onChangesSince
+        = [this](Revision revision, std::chrono::milliseconds wait, std::function<void(StoreNews)> done) {
+              auto answer = [this, revision, wait, done]() -> awaitable<void> {
+                  auto news = co_await m_link.answerPeer(revision, wait);
+                  done(std::move(news));
+              };
+              asio::co_spawn(m_context, answer, asio::detached);
+          };
     auto rpc = daemon::RpcNode::create(m_settings.rpcAddress, std::move(hooks));
     if (!rpc)
         return tl::make_unexpected(rpc.error());
@@ -224,9 +228,10 @@
 {
     const auto& controller = m_catalog.controller();
     nlohmann::json body { { "instance", m_settings.instance }, { "domain", m_settings.domain }, { "ready", isReady() },
-        { "storeAvailable", m_catalog.isStoreAvailable() }, { "revision", m_catalog.mirror().at() },
-        { "members", m_catalog.members().size() }, { "servers", m_catalog.servers().servers().size() },
-        { "inFlight", m_requests.inFlight() }, { "isController", m_controller.isController() } };
+        { "storeAvailable", m_catalog.isStoreAvailable() }, { "storeSource", m_link.source() },
+        { "revision", m_catalog.mirror().at() }, { "members", m_catalog.members().size() },
+        { "servers", m_catalog.servers().servers().size() }, { "inFlight", m_requests.inFlight() },
+        { "isController", m_controller.isController() } };
     body["version"] = m_catalog.desiredState() ? nlohmann::json(m_catalog.desiredState()->version()) : nullptr;
     body["controller"] = controller ? nlohmann::json { { "id", controller->id }, { "epoch", controller->epoch } }
                                     : nlohmann::json(nullptr);
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -17,49 +17,67 @@
 
 namespace {
 
-    /// Longest wait of one watch. A connection that went silent for good is noticed this much and a little later;
-    /// changes have to be in force within two seconds of the store's recovery from that.
-    constexpr auto watchWait = std::chrono::milliseconds(2000);
+    /// Longest wait of one watch, and of one question to a peer: the heartbeat by which a silent source is noticed.
+    constexpr auto watchWait = std::chrono::milliseconds(500);
 
-    /// Wait between two watches. Each answer costs a call, however few events it brings.
+    /// A peer's knowledge that is older is not followed. Changes have to be in force within two seconds, of which a
+    /// source may be silent for one and a call to the store may take the rest.
+    constexpr auto freshness = std::chrono::milliseconds(1000);
+
+    /// Wait between two watches, or two questions to a peer. Each answer costs a call, however few events it brings.
     constexpr auto watchPause = std::chrono::milliseconds(80);
 
     /// Backoff after the first failed call, and its bound.
     constexpr auto firstBackoff = std::chrono::milliseconds(60);
     constexpr auto longestBackoff = std::chrono::milliseconds(600);
 
-    /// Interval of asking a peer while the store does not answer; configuration has to be in force within two seconds.
-    constexpr auto relayInterval = std::chrono::milliseconds(400);
+    /// Failures in a row that make the store a lost dependency: one lost answer says little.
+    constexpr unsigned lostAfter = 2;
 
 } // namespace
 
-StoreLink::StoreLink(asio::io_context& context, ports::StorePort store, Catalog& catalog, Hooks hooks)
+StoreLink::StoreLink(
+    asio::io_context& context, MemberRecord self, ports::StorePort store, Catalog& catalog, Hooks hooks)
     : m_context(context)
+    , m_self(std::move(self))
     , m_store(std::move(store))
     , m_catalog(catalog)
     , m_hooks(std::move(hooks))
-    , m_linkChanged(context)
+    , m_sources(StoreSources::create({}, m_self.id, m_self.domain))
 {
 }
 
 void StoreLink::start()
 {
     asio::co_spawn(m_context, follow(), asio::detached);
-    asio::co_spawn(m_context, relay(), asio::detached);
     asio::co_spawn(m_context, settleLoop(), asio::detached);
 }
 
+Duration StoreLink::age() const
+{
+    return monotonicNow() - m_confirmedAt;
+}
+
+void StoreLink::confirm(TimePoint at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+    m_failures = 0;
+    m_catalog.noteStore(true);
+}
+
 void StoreLink::note(StoreStatus status)
 {
-    bool isAnswer = status == StoreStatus::done || status == StoreStatus::compacted;
-    if (!isAnswer)
-        logEvent(LogLevel::debug, LogEvent::storeCallFailed, { { "status", std::string(nameOf(status)) } });
-    m_failures = isAnswer ? 0 : m_failures + 1;
-    // One lost answer says little; the second in a row is a dependency lost.
-    if (isAnswer || m_failures >= 2) {
-        m_catalog.noteStore(isAnswer);
-        m_linkChanged.raise();
+    if (status == StoreStatus::done)
+        return confirm(monotonicNow());
+    if (status == StoreStatus::compacted) {
+        m_failures = 0;
+        return m_catalog.noteStore(true);
     }
+    logEvent(LogLevel::debug, LogEvent::storeCallFailed, { { "status", std::string(nameOf(status)) } });
+    if (++m_failures < lostAfter)
+        return;
+    m_sources.suspect(m_self.id, monotonicNow());
+    m_catalog.noteStore(false);
 }
 
 // Instances that failed together must not come back in step.
@@ -77,75 +95,141 @@
     if (reply.status != StoreStatus::done)
         co_return false;
     m_catalog.apply(std::move(reply.delta), "store");
+    m_isComplete = true;
     co_return true;
 }
 
+awaitable<bool> StoreLink::watch(std::chrono::milliseconds wait)
+{
+    auto reply = co_await m_store.watch(m_catalog.mirror().at(), wait);
+    note(reply.status);
+    if (reply.status == StoreStatus::done) {
+        m_catalog.apply(std::move(reply.delta), "watch");
+        co_return true;
+    }
+    // After a gap nothing is decided before the whole store was read. A watch without an answer leaves none.
+    bool isGap = reply.status == StoreStatus::compacted || reply.status == StoreStatus::malformed;
+    m_isComplete = m_isComplete && !isGap;
+    co_return false;
+}
+
+void StoreLink::noteSource(std::string source)
+{
+    if (source == m_source)
+        return;
+    m_source = std::move(source);
+    logEvent(LogLevel::info, LogEvent::storeSource,
+        { { "source", m_source }, { "ageMs", std::to_string(age().count() / 1000) },
+            { "revision", std::to_string(m_catalog.mirror().at()) } });
+}
+
 awaitable<void> StoreLink::follow()
 {
-    bool isCurrent = false;
     while (!m_stopped) {
-        if (!isCurrent) {
-            isCurrent = co_await reload();
-            if (!isCurrent)
-                co_await daemon::sleepFor(m_context, backoff());
-            continue;
+        if (m_catalog.members() != m_knownMembers) {
+            m_knownMembers = m_catalog.members();
+            std::vector<StoreSources::Peer> peers;
+            for (const auto& it : m_knownMembers)
+                peers.push_back({ it.first, it.second.domain, it.second.rpcAddress });
+            m_sources.setPeers(std::move(peers));
         }
-        auto asked = std::chrono::steady_clock::now();
-        auto reply = co_await m_store.watch(m_catalog.mirror().at(), watchWait);
-        note(reply.status);
-        if (reply.status == StoreStatus::done) {
-            bool isNews = !reply.delta.changes.empty();
-            m_catalog.apply(std::move(reply.delta), "watch");
-            bool wasQuick = std::chrono::steady_clock::now() - asked < watchPause;
-            if (isNews || wasQuick)
-                co_await daemon::sleepFor(m_context, watchPause);
-            continue;
-        }
-        // After a gap nothing is decided before the whole store was read.
-        isCurrent = false;
-        if (reply.status != StoreStatus::compacted && reply.status != StoreStatus::unknown)
-            co_await daemon::sleepFor(m_context, backoff());
+        auto peer = m_catalog.isLoaded() ? m_sources.pick(monotonicNow()) : std::nullopt;
+        noteSource(peer ? peer->id : storeItself);
+        if (peer)
+            co_await followPeer(*peer);
+        else
+            co_await followStore();
     }
 }
 
-std::optional<std::string> StoreLink::pickPeer()
+awaitable<void> StoreLink::followStore()
 {
-    std::vector<std::string> peers;
-    for (const auto& it : m_catalog.members()) {
-        if (it.first != m_hooks.self)
-            peers.push_back(it.second.rpcAddress);
+    bool wasLoaded = m_isComplete;
+    auto asked = std::chrono::steady_clock::now();
+    auto revision = m_catalog.mirror().at();
+    bool isDone = false;
+    if (m_isComplete)
+        isDone = co_await watch(watchWait);
+    else
+        isDone = co_await reload();
+    if (!isDone) {
+        if (!m_catalog.isLoaded())
+            co_await askSeed();
+        co_await daemon::sleepFor(m_context, backoff());
+        co_return;
     }
-    if (peers.empty())
-        peers = m_hooks.seeds;
-    if (peers.empty())
-        return std::nullopt;
-    std::uniform_int_distribution<std::size_t> pick(0, peers.size() - 1);
-    return peers[pick(m_random)];
+    bool isNews = m_catalog.mirror().at() > revision;
+    bool wasQuick = std::chrono::steady_clock::now() - asked < watchPause;
+    if (wasLoaded && (isNews || wasQuick))
+        co_await daemon::sleepFor(m_context, watchPause);
 }
 
-awaitable<void> StoreLink::relay()
+awaitable<std::optional<StoreNews>> StoreLink::ask(std::string address, Revision after, std::chrono::milliseconds wait)
 {
-    while (!m_stopped) {
-        auto peer = m_catalog.isStoreAvailable() ? std::nullopt : pickPeer();
-        if (!peer) {
-            co_await m_linkChanged.waitFor(std::chrono::seconds(5));
-            continue;
-        }
-        auto revision = m_catalog.mirror().at();
-        std::function<void(std::function<void(std::optional<StoreDelta>)>)> ask
-            = [this, peer, revision](std::function<void(std::optional<StoreDelta>)> done) {
-                  m_hooks.rpc().changesSince(*peer, revision, std::move(done));
-              };
-        auto delta = co_await daemon::awaitCallback<std::optional<StoreDelta>>(m_context, ask);
-        bool isNews = delta && delta->at > m_catalog.mirror().at();
-        if (isNews) {
-            logEvent(LogLevel::info, LogEvent::storeRelayed,
-                { { "peer", *peer }, { "from", std::to_string(revision) }, { "to", std::to_string(delta->at) },
-                    { "changes", std::to_string(delta->changes.size()) } });
-            m_catalog.apply(std::move(*delta), "peer");
-        }
-        co_await daemon::sleepFor(m_context, relayInterval);
+    std::function<void(std::function<void(std::optional<StoreNews>)>)> call
+        = [this, address, after, wait](std::function<void(std::optional<StoreNews>)> done) {
+              m_hooks.rpc().changesSince(address, after, wait, std::move(done));
+          };
+    co_return co_await daemon::awaitCallback<std::optional<StoreNews>>(m_context, call);
+}
+
+awaitable<void> StoreLink::followPeer(StoreSources::Peer peer)
+{
+    // A copy with a gap is replaced by the peer's.
+    auto after = m_isComplete ? m_catalog.mirror().at() : Revision { 0 };
+    auto news = co_await ask(peer.rpcAddress, after, watchWait);
+    if (news && news->delta.at >= m_catalog.mirror().at()) {
+        bool isNews = news->delta.at > m_catalog.mirror().at();
+        if (news->age <= freshness)
+            confirm(monotonicNow() - news->age);
+        m_catalog.apply(std::move(news->delta), "peer");
+        m_isComplete = true;
+        if (news->age <= freshness && isNews)
+            co_await daemon::sleepFor(m_context, watchPause);
+    }
+    if (news && news->age <= freshness)
+        co_return;
+    m_sources.suspect(peer.id, monotonicNow());
+    logEvent(LogLevel::info, LogEvent::storeSourceLost,
+        { { "peer", peer.id }, { "reason", news ? "its knowledge is old" : "no answer" },
+            { "ageMs", news ? std::to_string(news->age.count() / 1000) : "" } });
+    // What the silent source kept back is fetched at once; the next source may be silent too.
+    bool isCurrent = co_await watch(std::chrono::milliseconds(0));
+    if (!isCurrent)
+        co_await daemon::sleepFor(m_context, backoff());
+}
+
+awaitable<void> StoreLink::askSeed()
+{
+    if (m_hooks.seeds.empty())
+        co_return;
+    std::uniform_int_distribution<std::size_t> pick(0, m_hooks.seeds.size() - 1);
+    auto address = m_hooks.seeds[pick(m_random)];
+    auto news = co_await ask(address, 0, std::chrono::milliseconds(0));
+    if (!news || news->delta.at == 0)
+        co_return;
+    logEvent(LogLevel::info, LogEvent::storeRelayed,
+        { { "peer", address }, { "to", std::to_string(news->delta.at) },
+            { "changes", std::to_string(news->delta.changes.size()) } });
+    m_catalog.apply(std::move(news->delta), "peer");
+    m_isComplete = true;
+}
+
+awaitable<StoreNews> StoreLink::answerPeer(Revision after, std::chrono::milliseconds wait)
+{
+    auto now = monotonicNow();
+    // A follower hears at once when this instance's knowledge becomes too old.
+    auto until = std::chrono::steady_clock::time_point(
+        now + std::min<Duration>(wait, std::max(Duration::zero(), Duration(freshness) - age())));
+    while (m_catalog.mirror().at() <= after && std::chrono::steady_clock::now() < until) {
+        bool isChanged = co_await m_catalog.changed().wait(until);
+        if (!isChanged)
+            break;
     }
+    StoreNews news;
+    news.delta = m_catalog.mirror().since(after);
+    news.age = std::max(Duration::zero(), age());
+    co_return news;
 }
 
 awaitable<void> StoreLink::settleLoop()
--- a/src/entry/store_link.hpp
+++ b/src/entry/store_link.hpp
@@ -5,16 +5,16 @@
 
 namespace acaciagauge::entry {
 
-/// @brief Keeps the catalog up to date: reads the store, watches it, and asks peers while it does not answer.
+/// @brief Keeps the catalog up to date: watches the store, or follows a peer that does.
 class StoreLink {
 public:
     struct Hooks {
         std::function<daemon::RpcNode&()> rpc;
-        InstanceId self;
         std::vector<std::string> seeds; ///< RPC addresses to ask before any member is known.
     };
 
-    StoreLink(boost::asio::io_context& context, ports::StorePort store, Catalog& catalog, Hooks hooks);
+    StoreLink(
+        boost::asio::io_context& context, MemberRecord self, ports::StorePort store, Catalog& catalog, Hooks hooks);
 
     /// @brief Starts to follow the store.
     void start();
@@ -24,22 +24,43 @@
     /// @return false if it does not answer
     boost::asio::awaitable<bool> reload();
 
+    /// @brief Answers a peer that follows this instance, as soon as there is news.
+    boost::asio::awaitable<StoreNews> answerPeer(Revision after, std::chrono::milliseconds wait);
+
+    /// @brief Returns whom this instance hears the store's changes from: "store", or a peer's id.
+    [[nodiscard]] const std::string& source() const { return m_source; }
+
 private:
+    static constexpr const char* storeItself = "store";
+
     boost::asio::awaitable<void> follow();
-    boost::asio::awaitable<void> relay();
+    boost::asio::awaitable<void> followStore();
+    boost::asio::awaitable<void> followPeer(StoreSources::Peer peer);
+    boost::asio::awaitable<void> askSeed();
+    boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
+    boost::asio::awaitable<std::optional<StoreNews>> ask(
+        std::string address, Revision after, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> settleLoop();
-    std::optional<std::string> pickPeer();
+    void confirm(TimePoint at);
     void note(ports::StoreStatus status);
+    void noteSource(std::string source);
+    [[nodiscard]] Duration age() const;
     std::chrono::microseconds backoff();
 
     boost::asio::io_context& m_context;
+    MemberRecord m_self;
     ports::StorePort m_store;
     Catalog& m_catalog;
     Hooks m_hooks;
+    StoreSources m_sources;
+    std::map<InstanceId, MemberRecord> m_knownMembers; ///< That m_sources was told about.
+    std::string m_source = storeItself; ///< "store", or the id of the peer that is followed.
     std::mt19937_64 m_random { std::random_device {}() };
-    unsigned m_failures = 0; ///< Calls without success in a row.
+    TimePoint
+        m_confirmedAt; ///< When the store last confirmed, to this instance or through peers, that nothing is newer.
+    unsigned m_failures = 0; ///< Calls to the store without success in a row.
+    bool m_isComplete = false; ///< The copy has no gap up to its revision.
     bool m_stopped = false;
-    Signal m_linkChanged;
 };
 
 } // namespace acaciagauge::entry
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -35,8 +35,9 @@
 
 class PlatformCluster {
 public:
-    explicit PlatformCluster(unsigned base)
+    explicit PlatformCluster(unsigned base, std::string domain = "a")
         : m_base(base)
+        , m_domain(std::move(domain))
         , m_folder(std::filesystem::temp_directory_path() / ("acaciagauge-platform-" + std::to_string(base)))
         , m_storeRelay(base + 50, base)
     {
@@ -65,7 +66,7 @@
         // The last daemon reaches the store through a relay that can be cut.
         auto store = "127.0.0.1:" + std::to_string(n + 1 == daemons ? m_base + 50 : m_base);
         std::ofstream out(m_folder / (name + ".ini"));
-        out << "[instance]\nid = " << name << "\ndomain = a\n[listen]\ncallers = " << port(10)
+        out << "[instance]\nid = " << name << "\ndomain = " << m_domain << "\n[listen]\ncallers = " << port(10)
             << "\nreadiness = " << port(20) << "\nadmin = " << port(30) << "\nrpc = " << port(40)
             << "\n[platform]\ndialect = users\naddress = " << store << "\n";
         out.close();
@@ -140,6 +141,15 @@
         });
     }
 
+    /// Returns whom each daemon hears the store's changes from.
+    std::vector<std::string> sources()
+    {
+        std::vector<std::string> found;
+        for (unsigned n = 0; n < daemons; ++n)
+            found.push_back(status(n).value("storeSource", ""));
+        return found;
+    }
+
     int controller()
     {
         for (unsigned n = 0; n < daemons; ++n) {
@@ -191,12 +201,25 @@
     }
 
     unsigned m_base;
+    std::string m_domain;
     std::filesystem::path m_folder;
     e2e::CutRelay m_storeRelay;
     std::map<std::string, pid_t> m_processes;
     std::uint64_t m_lastRequest = 0;
 };
 
+/// Returns a failure domain whose store watcher is the given daemon.
+std::string domainWatchedBy(unsigned daemon)
+{
+    std::vector<std::string> names;
+    for (unsigned n = 0; n < daemons; ++n)
+        names.push_back("d" + std::to_string(n));
+    unsigned number = 0;
+    while (rendezvousOrder("domain" + std::to_string(number), names).front() != names[daemon])
+        ++number;
+    return "domain" + std::to_string(number);
+}
+
 /// Checks what callers were told against what the servers ran.
 void checkPromises(const std::vector<Answer>& answers, const Json& record)
 {
@@ -271,19 +294,37 @@
     checkPromises(answers, cluster.record());
 }
 
-TEST_CASE("a daemon that cannot reach the store learns the desired state from its peers")
+TEST_CASE("a watcher that cannot reach the store follows a peer; all learn the desired state")
 {
-    PlatformCluster cluster(31300);
-    REQUIRE(cluster.waitServing());
     auto last = daemons - 1;
+    PlatformCluster cluster(31300, domainWatchedBy(last));
+    REQUIRE(cluster.waitServing());
+    REQUIRE(cluster.waitFor([&] { return cluster.sources() == std::vector<std::string> { "d2", "d2", "store" }; }));
     cluster.storeRelay().cut();
-    REQUIRE(cluster.waitFor([&] { return !cluster.status(last).value("storeAvailable", true); }));
+    REQUIRE(cluster.waitFor([&] { return cluster.sources()[last] != "store"; }));
     CHECK(cluster.request(last, false, 5, "/late/").status == 404);
     cluster.faults({ { "configure", 2 } });
-    CHECK(cluster.waitFor([&] { return cluster.request(last, false, 5, "/late/").status == 200; }));
-    CHECK(!cluster.status(last).value("storeAvailable", true));
+    for (unsigned n = 0; n < daemons; ++n)
+        CHECK(cluster.waitFor([&] { return cluster.request(n, false, 5, "/late/").status == 200; }));
+    CHECK(cluster.sources()[last] != "store");
     cluster.storeRelay().heal();
-    CHECK(cluster.waitFor([&] { return cluster.status(last).value("storeAvailable", false); }));
+    CHECK(cluster.waitFor([&] { return cluster.sources() == std::vector<std::string> { "d2", "d2", "store" }; }));
+}
+
+TEST_CASE("followers of a watcher that is paused or killed learn the desired state without it")
+{
+    auto last = daemons - 1;
+    for (auto number : { SIGSTOP, SIGKILL }) {
+        PlatformCluster cluster(number == SIGSTOP ? 31500 : 31600, domainWatchedBy(last));
+        REQUIRE(cluster.waitServing());
+        REQUIRE(cluster.waitFor([&] { return cluster.sources()[0] == "d2" && cluster.sources()[1] == "d2"; }));
+        cluster.signal("d2", number);
+        cluster.faults({ { "configure", 2 } });
+        for (unsigned n = 0; n < last; ++n)
+            CHECK(cluster.waitFor([&] { return cluster.request(n, false, 5, "/late/").status == 200; }));
+        CHECK(cluster.sources()[0] != "d2");
+        CHECK(cluster.sources()[1] != "d2");
+    }
 }
 
 TEST_CASE("a daemon that is told to leave answers all that it took and exits in order")
