A reset of a new connection is known not to have run the request

Change: a new connection is used after 5 ms, if it is still open; else the send is 'crowded': it did not run, costs no retry, and counts as a full server.

--- a/include/acaciagauge/detail/routing/send_policy.hpp
+++ b/include/acaciagauge/detail/routing/send_policy.hpp
@@ -9,6 +9,7 @@
     answered, ///< The server ran it and answered.
     failed, ///< The server ran it and says that it failed.
     shed, ///< The server had no room and did not run it.
+    crowded, ///< The server took no further connection; no byte was sent.
     moved, ///< The server does not own the key, or is another one; it did not run it.
     notSent, ///< No byte reached the server.
     unknown, ///< It may have run.
--- a/src/core/routing/send_policy.cpp
+++ b/src/core/routing/send_policy.cpp
@@ -24,6 +24,7 @@
     case SendOutcome::failed:
         return mayRunAgain(history) ? AfterSend::sendAgain : AfterSend::answer;
     case SendOutcome::shed:
+    case SendOutcome::crowded:
         return hasTime ? AfterSend::sendAgain : AfterSend::giveUp;
     case SendOutcome::moved:
         return hasTime && history.arrivals <= maxMisdirected ? AfterSend::waitForOwner : AfterSend::giveUp;
--- a/src/entry/request_path.cpp
+++ b/src/entry/request_path.cpp
@@ -39,6 +39,9 @@
     /// Bytes that a server's machine does not acknowledge for this long are given up: a few retransmissions.
     constexpr auto silenceLimit = std::chrono::milliseconds(1000);
 
+    /// A new connection is used after this: a round trip between failure domains and what a server takes to accept.
+    constexpr auto settleTime = std::chrono::milliseconds(5);
+
     /// Taken off a caller's time, for the answer's way back.
     constexpr auto answerMargin = std::chrono::milliseconds(25);
 
@@ -93,6 +96,7 @@
     client.bodyLimit = net::maxAdminBodyBytes;
     client.acceptUnframed = true;
     client.silenceLimit = silenceLimit;
+    client.settleTime = settleTime;
     m_client = net::HttpClient::create(context, client);
 }
 
@@ -278,7 +282,7 @@
         auto next = afterSend(job.history);
         if (next == AfterSend::answer)
             co_return passOn(job, std::move(sent.response));
-        bool isFree = sent.outcome == SendOutcome::notSent;
+        bool isFree = sent.outcome == SendOutcome::notSent || sent.outcome == SendOutcome::crowded;
         bool mayGoOn = next != AfterSend::giveUp && !job.cancellation->isCancelled()
             && (isFree || m_retries.take(job.service, instances(), monotonicNow()));
         if (!mayGoOn && sent.outcome == SendOutcome::failed)
@@ -330,7 +334,8 @@
     auto request = buildRequest(job, server);
     auto exchange = co_await m_client->exchange(server.entry.address, std::move(request), std::move(options));
     auto sent = classify(job, std::move(exchange));
-    if (sent.outcome != SendOutcome::notSent)
+    bool isArrival = sent.outcome != SendOutcome::notSent && sent.outcome != SendOutcome::crowded;
+    if (isArrival)
         ++job.history.arrivals;
     if (sent.outcome == SendOutcome::unknown || sent.outcome == SendOutcome::failed)
         ++job.history.mayHaveRun;
@@ -346,6 +351,10 @@
     sent.cause = "server " + job.lastServer + ": " + exchange.error;
     if (exchange.state == ExchangeState::refused || exchange.state == ExchangeState::notSent)
         return sent;
+    if (exchange.state == ExchangeState::rejected) {
+        sent.outcome = SendOutcome::crowded;
+        return sent;
+    }
     sent.outcome = SendOutcome::unknown;
     if (exchange.state != ExchangeState::answered) {
         sent.timedOut = exchange.state == ExchangeState::timedOut;
@@ -377,7 +386,7 @@
     auto now = monotonicNow();
     ended.time = now - sentAt;
     ended.ran = sent.outcome == SendOutcome::answered;
-    ended.shed = sent.outcome == SendOutcome::shed;
+    ended.shed = sent.outcome == SendOutcome::shed || sent.outcome == SendOutcome::crowded;
     auto load = m_dialect.parseLoad(headerOf(sent.response, m_dialect.load));
     if (load)
         ended.statedLoad = load->running + load->waiting;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -52,14 +52,17 @@
     return std::shared_ptr<HttpClient>(new HttpClient(context, options));
 }
 
-// An idle connection with anything to read was closed by the server or carries a late answer.
 bool HttpClient::isUsable(Connection& connection, std::chrono::milliseconds maxIdle) const
 {
     auto limit = maxIdle;
     if (connection.serverLimit.count() > 0)
         limit = std::min(limit, connection.serverLimit - m_options.idleMargin);
-    if (Clock::now() - connection.idleSince > limit)
-        return false;
+    return Clock::now() - connection.idleSince <= limit && isQuiet(connection);
+}
+
+// A connection with anything to read was ended by the server or carries a late answer.
+bool HttpClient::isQuiet(Connection& connection)
+{
     char byte = 0;
     auto n = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -117,9 +120,27 @@
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
     if (m_options.silenceLimit.count() > 0)
         limitSilence(connection->stream.socket(), m_options.silenceLimit);
+    if (m_options.settleTime.count() > 0) {
+        bool isTaken = co_await settle(*connection);
+        if (!isTaken) {
+            outcome.state = ExchangeState::rejected;
+            outcome.error = "the server ended the new connection";
+            co_return nullptr;
+        }
+    }
     co_return connection;
 }
 
+// A server without room for connections accepts and resets them. Before a byte was written that is known to have run
+// nothing; afterwards it is not.
+asio::awaitable<bool> HttpClient::settle(Connection& connection)
+{
+    asio::steady_timer timer(m_context, m_options.settleTime);
+    beast::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_return isQuiet(connection);
+}
+
 asio::awaitable<beast::error_code> HttpClient::readAnswer(
     Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome)
 {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -17,6 +17,7 @@
     answered, ///< The whole answer is here.
     refused, ///< The connection was refused: no process listens at the address.
     notSent, ///< No byte of the request was written.
+    rejected, ///< The server ended a new connection before a byte was written: it takes no more of them.
     broken, ///< Some byte may have been written, and there is no whole answer.
     timedOut, ///< As broken, because the time was over.
 };
@@ -42,6 +43,9 @@
         std::chrono::milliseconds silenceLimit {
             0
         }; ///< Unacknowledged bytes end the connection; 0: the system's limit.
+        std::chrono::milliseconds settleTime {
+            0
+        }; ///< A new connection is used after this time, if the server has not ended it by then.
         bool acceptUnframed = false; ///< Takes answers that end with their connection, if it ends in order.
     };
 
@@ -86,6 +90,7 @@
     HttpClient(asio::io_context& context, Options options);
     asio::awaitable<std::unique_ptr<Connection>> connect(
         std::string address, ExchangeOptions options, Clock::time_point deadline, Exchange& outcome);
+    asio::awaitable<bool> settle(Connection& connection);
     asio::awaitable<void> carry(
         Connection& connection, Request& request, const ExchangeOptions& options, Exchange& outcome);
     asio::awaitable<beast::error_code> readAnswer(
@@ -93,6 +98,7 @@
     void keep(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
     std::unique_ptr<Connection> takeIdle(const std::string& address, std::chrono::milliseconds maxIdle);
     bool isUsable(Connection& connection, std::chrono::milliseconds maxIdle) const;
+    static bool isQuiet(Connection& connection);
 
     asio::io_context& m_context;
     Options m_options;
--- a/tests/test_http_session.cpp
+++ b/tests/test_http_session.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -162,3 +163,35 @@
     CHECK(exchange.state == ExchangeState::answered);
     CHECK(exchange.response.body() == "mine");
 }
+
+TEST_CASE("a server that resets a new connection has run nothing; one that takes it is answered")
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    HttpClient::Options options;
+    options.settleTime = 50ms;
+    auto client = HttpClient::create(context, options);
+    auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto crowded = co_await acceptor.async_accept(asio::use_awaitable);
+        crowded.set_option(asio::socket_base::linger(true, 0));
+        crowded.close();
+        auto taken = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string request;
+        co_await asio::async_read_until(taken, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+        std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(taken, asio::buffer(answer), asio::use_awaitable);
+    };
+    std::vector<ExchangeState> states;
+    auto ask = [&]() -> asio::awaitable<void> {
+        for (int n = 0; n < 2; ++n) {
+            auto request = makeRequest(http::verb::post, "/");
+            auto exchange = co_await client->exchange(address, std::move(request), std::chrono::microseconds(2s));
+            states.push_back(exchange.state);
+        }
+    };
+    asio::co_spawn(context, serve, asio::detached);
+    asio::co_spawn(context, ask, asio::detached);
+    context.run_for(3s);
+    CHECK(states == std::vector { ExchangeState::rejected, ExchangeState::answered });
+}
--- a/tests/test_send_policy.cpp
+++ b/tests/test_send_policy.cpp
@@ -15,7 +15,7 @@
 {
     bool holds = rc::check("after a send", [] {
         SendHistory history;
-        history.last = static_cast<SendOutcome>(*rc::gen::inRange(0, 6));
+        history.last = static_cast<SendOutcome>(*rc::gen::inRange(0, 7));
         history.idempotent = *rc::gen::arbitrary<bool>();
         history.hasKey = *rc::gen::arbitrary<bool>();
         history.mayHaveRun = *rc::gen::inRange(0U, 4U);
