--- a/include/acaciagauge/detail/planning/key_placement.hpp
+++ b/include/acaciagauge/detail/planning/key_placement.hpp
@@ -8,8 +8,8 @@
 class KeyPlacement {
 public:
     struct Options {
-        double overload = 1.4; ///< A server above this multiple of the mean load gives keys away.
-        double leastExcess = 1.0; ///< Requests a second for each slot above the mean that make a move worth while.
+        double overload = 1.2; ///< A server above this multiple of the mean load gives keys away.
+        double leastExcess = 0.6; ///< Requests a second for each slot above the mean that make a move worth while.
         double leastEffect
             = 0.85; ///< A move must bring the larger load of the two servers below this part of the giver's.
         std::size_t maxMoves = 4; ///< Planned moves of one service in progress at once.
