Key placement: an overloaded server gives its densest part away, however small

A print of the planner's view showed load 35 to 46 against a mean of 5, three movable ranges, no move in progress, and no plan: the densest window carried between 12.5 and 15% of the server's load, enough to be chosen (a quarter of what should move) and too little to be allowed (the giver had to come below 0.85 of its load). Nothing else was tried.

Change: only the taker's load after the move is held against the giver's present one.

Ruled out: load reports that do not arrive after a takeover (the rates were there), moves that never end (none in progress).

Test: test_key_placement 'densest part', failed on the code before.

--- a/include/acaciagauge/detail/planning/key_placement.hpp
+++ b/include/acaciagauge/detail/planning/key_placement.hpp
@@ -10,8 +10,7 @@
     struct Options {
         double overload = 1.2; ///< A server above this multiple of the mean load gives keys away.
         double leastExcess = 0.6; ///< Requests a second for each slot above the mean that make a move worth while.
-        double leastEffect
-            = 0.85; ///< A move must bring the larger load of the two servers below this part of the giver's.
+        double leastEffect = 0.85; ///< After a move the taker must stay below this part of the giver's load.
         std::size_t maxMoves = 4; ///< Planned moves of one service in progress at once.
         KeyNumber maxWidth = 1024; ///< Widest range that is moved for load; wide moves are churn.
     };
--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -135,12 +135,11 @@
         return best;
     }
 
-    /// Returns the larger relative load of the two servers after a move, over the giver's present one.
+    /// Returns the taker's relative load after a move, over the giver's present one. The giver's own does not count: a
+    /// small part that moves is better than none.
     double effect(const Paper& paper, const ServerId& from, const ServerId& to, double weight)
     {
-        auto giver = (paper.rate(from) - weight) / paper.capacity(from);
-        auto taker = (paper.rate(to) + weight) / paper.capacity(to);
-        return std::max(giver, taker) / paper.relative(from);
+        return (paper.rate(to) + weight) / paper.capacity(to) / paper.relative(from);
     }
 
     /// Finds the best move of load away from a server.
--- a/tests/test_key_placement.cpp
+++ b/tests/test_key_placement.cpp
@@ -101,6 +101,21 @@
     CHECK(moved <= 200);
 }
 
+TEST_CASE("an overloaded server gives its densest part away, however small")
+{
+    KeyCounts counts;
+    for (KeyNumber key = 20500; key < 20510; ++key)
+        counts[key] = 27;
+    for (KeyNumber n = 0; n < 865; ++n)
+        counts[20520 + 3 * n] = 2;
+    auto load = loadOf(counts);
+    auto input = inputOf(10, load);
+    auto moves = KeyPlacement::plan({}, input);
+    REQUIRE(!moves.empty());
+    CHECK(moves[0].keys.contains(20505));
+    CHECK(moves[0].to != ownerOf(input, 20505));
+}
+
 TEST_CASE("one key that is too much for its server goes to a faster one, and not between equals")
 {
     auto load = loadOf({ { 20000, 60 } });
