--- a/src/entry/controller_duty.cpp
+++ b/src/entry/controller_duty.cpp
@@ -28,8 +28,9 @@
     /// Taken off a lease's end: for the call's way to the store, and for clocks that differ in rate.
     constexpr auto authorityMargin = std::chrono::milliseconds(250);
 
-    /// Step between the instances' turns to become controller, and the number of steps.
-    constexpr auto campaignStep = std::chrono::milliseconds(30);
+    /// Step between the instances' turns to become controller: the first one's record reaches the others within two
+    /// steps. And the number of steps.
+    constexpr auto campaignStep = std::chrono::milliseconds(80);
     constexpr std::size_t campaignSteps = 12;
 
     /// Time for a release: the server answers when the work on the keys has ended.
@@ -92,9 +93,32 @@
     return campaignStep * std::min(rank, campaignSteps) + std::chrono::microseconds(jitter(m_random));
 }
 
+// An instance has one process: a record of its own that it does not rule by belongs to an epoch that is over.
+bool ControllerDuty::isOwnFormer(const ControllerRecord& record) const
+{
+    return record.id == m_self.id && record.rpcAddress == m_self.rpcAddress && !m_actor;
+}
+
+// The store may pause leases while it is away; nobody else can be controller until this one has run out.
+awaitable<void> ControllerDuty::endFormerLease(std::uint64_t lease)
+{
+    auto ended = co_await m_store.endLease(lease);
+    logEvent(LogLevel::info, LogEvent::controllerLost,
+        { { "reason", "the lease of a former epoch of this instance is ended" },
+            { "leaseEnded", std::string(nameOf(ended)) } });
+    bool isCurrent = co_await m_link.reload();
+    if (!isCurrent)
+        co_await sleepFor(m_context, std::chrono::milliseconds(200));
+}
+
 awaitable<void> ControllerDuty::waitForVacancy()
 {
     while (!m_leaving) {
+        const auto& controller = m_catalog.controller();
+        if (controller && isOwnFormer(*controller) && m_catalog.isStoreAvailable()) {
+            co_await endFormerLease(controller->lease);
+            continue;
+        }
         bool isVacant = m_catalog.isLoaded() && m_catalog.isStoreAvailable() && !m_catalog.controller();
         if (!isVacant) {
             co_await m_catalog.changed().waitFor(std::chrono::seconds(5));
@@ -119,6 +143,7 @@
     wanted.id = m_self.id;
     wanted.rpcAddress = m_self.rpcAddress;
     wanted.epoch = (epochItem ? decodeEpoch(epochItem->value) : 0) + 1;
+    wanted.lease = lease.lease;
     wanted.token = std::to_string(m_random());
     ports::StoreTransaction transaction;
     transaction.conditions.push_back({ controllerKey, 0 });
--- a/src/entry/controller_duty.hpp
+++ b/src/entry/controller_duty.hpp
@@ -52,6 +52,8 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> waitForVacancy();
+    [[nodiscard]] bool isOwnFormer(const ControllerRecord& record) const;
+    boost::asio::awaitable<void> endFormerLease(std::uint64_t lease);
     boost::asio::awaitable<bool> campaign();
     boost::asio::awaitable<bool> confirm(ports::StoreWriteReply reply, const ControllerRecord& wanted);
     boost::asio::awaitable<void> rule();
--- a/src/entry/store_keys.cpp
+++ b/src/entry/store_keys.cpp
@@ -39,7 +39,7 @@
 {
     return Json {
         { "id", controller.id }, { "epoch", controller.epoch }, { "rpc", controller.rpcAddress },
-        { "token", controller.token }
+        { "lease", controller.lease }, { "token", controller.token }
     }.dump();
 }
 
@@ -48,7 +48,8 @@
     try {
         auto document = Json::parse(text);
         return ControllerRecord { document.at("id").get<InstanceId>(), document.at("epoch").get<Epoch>(),
-            document.at("rpc").get<std::string>(), document.at("token").get<std::string>() };
+            document.at("rpc").get<std::string>(), document.at("lease").get<std::uint64_t>(),
+            document.at("token").get<std::string>() };
     } catch (const Json::exception& error) {
         return failure(ResultCode::malformedRequest, error.what());
     }
--- a/src/entry/store_keys.hpp
+++ b/src/entry/store_keys.hpp
@@ -26,6 +26,7 @@
     InstanceId id;
     Epoch epoch = 0;
     std::string rpcAddress;
+    std::uint64_t lease = 0; ///< That the record is kept under.
     std::string token; ///< Tells apart two tries of one instance to become controller.
 
     bool operator==(const ControllerRecord&) const = default;
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -71,6 +71,15 @@
         m_oldest = m_revision;
     }
 
+    /// Leases go on from where they were after an outage in which they stood still.
+    void extendLeases(Clock::duration time)
+    {
+        for (auto& it : m_leases)
+            it.second.second += time;
+    }
+
+    [[nodiscard]] unsigned endedLeases() const { return m_endedLeases; }
+
     void expireLeases()
     {
         auto now = Clock::now();
@@ -239,6 +248,7 @@
     Response endLease(std::uint64_t lease)
     {
         m_leases.erase(lease);
+        ++m_endedLeases;
         removeLeased(lease);
         return jsonAnswer(200, Json::object());
     }
@@ -260,6 +270,7 @@
     Revision m_revision = 1;
     Revision m_oldest = 0;
     std::uint64_t m_lastLease = 0;
+    unsigned m_endedLeases = 0; ///< By their holders.
     std::map<std::uint64_t, std::pair<std::chrono::milliseconds, Clock::time_point>> m_leases;
 };
 
@@ -290,10 +301,11 @@
 /// The whole platform.
 class Platform {
 public:
-    Platform(asio::io_context& context, unsigned basePort, unsigned servers)
+    Platform(asio::io_context& context, unsigned basePort, unsigned servers, unsigned listedFrom)
         : m_context(context)
         , m_store(context)
         , m_base(basePort)
+        , m_listedFrom(listedFrom)
     {
         m_servers.resize(servers);
     }
@@ -312,10 +324,10 @@
         for (unsigned n = 0; n < m_servers.size(); ++n) {
             auto& server = m_servers[n];
             server.id = "i-" + std::to_string(n);
-            server.address = addressOf(n + 1);
+            server.address = "127.0.0.1:" + std::to_string(m_listedFrom + n);
             server.started = 1'700'000'000'000 + n;
             HttpServer::Options options;
-            options.address = server.address;
+            options.address = addressOf(n + 1);
             options.handler = [this, n](Request request) { return handleServer(n, std::move(request)); };
             auto http = HttpServer::create(m_context, options);
             if (!http)
@@ -380,7 +392,8 @@
         if (path == "/faults")
             co_return setFaults(Json::parse(request.body()));
         if (path == "/record")
-            co_return jsonAnswer(200, { { "runs", m_runs }, { "problems", m_problems } });
+            co_return jsonAnswer(
+                200, { { "runs", m_runs }, { "problems", m_problems }, { "endedLeases", m_store.endedLeases() } });
         if (m_faults.isStoreDown)
             co_return jsonAnswer(503, Json::object());
         bool isWrite = path == "/-/kv-txn";
@@ -392,7 +405,12 @@
 
     Response setFaults(const Json& body)
     {
-        m_faults.isStoreDown = body.value("storeDown", m_faults.isStoreDown);
+        bool wasDown = m_faults.isStoreDown;
+        m_faults.isStoreDown = body.value("storeDown", wasDown);
+        if (m_faults.isStoreDown && !wasDown)
+            m_downSince = Clock::now();
+        if (wasDown && !m_faults.isStoreDown)
+            m_store.extendLeases(Clock::now() - m_downSince);
         m_faults.lostAnswers = body.value("lostAnswers", m_faults.lostAnswers);
         m_faults.lostRuns = body.value("lostRuns", m_faults.lostRuns);
         m_faults.lateGrants = body.value("lateGrants", m_faults.lateGrants);
@@ -410,6 +428,8 @@
             server.held.clear();
             server.seen.clear();
             server.started += 1000;
+            server.isDraining = false;
+            server.isSilent = false;
             enlist(server);
         }
         if (body.contains("silence"))
@@ -514,9 +534,11 @@
     asio::io_context& m_context;
     Store m_store;
     unsigned m_base;
+    unsigned m_listedFrom; ///< Port of the first server, as it is listed.
     std::shared_ptr<HttpServer> m_storeServer;
     std::vector<KeyServer> m_servers;
     Faults m_faults;
+    Clock::time_point m_downSince;
     std::mt19937 m_random { 1 };
     Json m_runs = Json::array();
     Json m_problems = Json::array();
@@ -531,9 +553,12 @@
     unsigned servers = 4;
     app.add_option("--port", basePort, "Port of the store; the servers have the next ones")->required();
     app.add_option("--servers", servers, "Number of servers that own keys");
+    unsigned listedFrom = 0;
+    app.add_option(
+        "--listed-from", listedFrom, "Port that the first server is listed with, if relays stand before them");
     CLI11_PARSE(app, argc, argv);
     asio::io_context context(1);
-    Platform platform(context, basePort, servers);
+    Platform platform(context, basePort, servers, listedFrom > 0 ? listedFrom : basePort + 1);
     auto started = platform.start();
     if (!started) {
         std::cerr << started.error().message << '\n';
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -1,21 +1,14 @@
 #include "cluster.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <csignal>
-#include <fcntl.h>
 #include <fstream>
-#include <spawn.h>
 #include <sstream>
-#include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace acaciagauge::e2e {
 
 using net::asio::ip::tcp;
@@ -27,12 +20,6 @@
     constexpr int servers = 6;
     constexpr int workersPerDaemon = 3;
     constexpr auto loadPause = std::chrono::milliseconds(3);
-    constexpr auto cutPoll = std::chrono::milliseconds(5);
-
-    tcp::endpoint loopback(unsigned port)
-    {
-        return { asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port) };
-    }
 
     std::string domainOf(int daemon)
     {
@@ -41,64 +28,13 @@
 
 } // namespace
 
-CutRelay::CutRelay(unsigned listenPort, unsigned targetPort)
-    : m_acceptor(m_context, loopback(listenPort))
-    , m_targetPort(targetPort)
-{
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
-    m_thread = std::thread([this] { m_context.run(); });
-}
-
-CutRelay::~CutRelay()
-{
-    m_context.stop();
-    m_thread.join();
-}
-
-asio::awaitable<void> CutRelay::acceptLoop()
-{
-    while (true) {
-        auto near = std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
-        auto far = std::make_shared<tcp::socket>(m_context);
-        boost::system::error_code ec;
-        co_await far->async_connect(loopback(m_targetPort), asio::redirect_error(asio::use_awaitable, ec));
-        if (ec)
-            continue;
-        near->set_option(tcp::no_delay(true));
-        far->set_option(tcp::no_delay(true));
-        asio::co_spawn(m_context, pump(near, far), asio::detached);
-        asio::co_spawn(m_context, pump(far, near), asio::detached);
-    }
-}
-
-asio::awaitable<void> CutRelay::pump(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to)
-{
-    std::vector<char> buf(65536);
-    while (true) {
-        boost::system::error_code ec;
-        auto n = co_await from->async_read_some(asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
-        while (m_cut) {
-            asio::steady_timer timer(m_context, cutPoll);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
-        if (!ec)
-            co_await asio::async_write(*to, asio::buffer(buf.data(), n), asio::redirect_error(asio::use_awaitable, ec));
-        if (ec) {
-            boost::system::error_code ignored;
-            to->shutdown(tcp::socket::shutdown_both, ignored);
-            co_return;
-        }
-    }
-}
-
 Cluster::Cluster(unsigned basePort)
     : m_base(basePort)
-    , m_folder(std::filesystem::temp_directory_path()
+    , m_processes(std::filesystem::temp_directory_path()
           / ("acaciagauge-e2e-" + std::to_string(::getpid()) + "-" + std::to_string(basePort)))
 {
-    std::filesystem::create_directories(m_folder);
     for (int n = 1; n <= daemons; ++n)
-        m_relays[n] = std::make_unique<CutRelay>(m_base + 500 + static_cast<unsigned>(n), rpcPort(n));
+        m_relays[n] = std::make_unique<FaultRelay>(m_base + 500 + static_cast<unsigned>(n), rpcPort(n));
 }
 
 Cluster::~Cluster()
@@ -106,36 +42,11 @@
     m_loading = false;
     for (auto& it : m_load)
         it.join();
-    for (const auto& it : m_processes) {
-        ::kill(it.second, SIGKILL);
-        ::waitpid(it.second, nullptr, 0);
-    }
-    std::filesystem::remove_all(m_folder);
-}
-
-pid_t Cluster::spawn(const std::string& name, std::vector<std::string> arguments)
-{
-    arguments[0] = std::string(BUILD_FOLDER) + "/" + arguments[0];
-    std::vector<char*> argv;
-    for (auto& it : arguments)
-        argv.push_back(it.data());
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    auto log = (m_folder / (name + ".log")).string();
-    ::posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    pid_t pid = -1;
-    if (::posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ) != 0)
-        throw std::runtime_error("cannot start " + arguments[0]);
-    ::posix_spawn_file_actions_destroy(&actions);
-    m_processes[name] = pid;
-    return pid;
 }
 
 void Cluster::writeSettings(int n)
 {
-    std::ofstream out(m_folder / ("e" + std::to_string(n) + ".ini"));
+    std::ofstream out(m_processes.folder() / ("e" + std::to_string(n) + ".ini"));
     out << "[instance]\nid = e" << n << "\ndomain = " << domainOf(n)
         << "\n[listen]\ncallers = " << addressOf(callersPort(n)) << "\nadmin = " << addressOf(adminPort(n))
         << "\nrpc = " << addressOf(rpcPort(n)) << "\n[platform]\naddress = " << addressOf(m_base)
@@ -152,7 +63,7 @@
             + addressOf(adminPort(n)) + "," + addressOf(m_base + 500 + static_cast<unsigned>(n)));
         writeSettings(n);
     }
-    spawn("platform", platform);
+    m_processes.spawn("platform", platform);
     for (int n = 1; n <= servers; ++n)
         startServer(n);
     for (int n = 1; n <= daemons; ++n)
@@ -162,43 +73,32 @@
 void Cluster::startDaemon(int n)
 {
     auto name = "e" + std::to_string(n);
-    spawn(name, { "acaciagauged", "--settings", (m_folder / (name + ".ini")).string() });
+    m_processes.spawn(name, { "acaciagauged", "--settings", (m_processes.folder() / (name + ".ini")).string() });
 }
 
 void Cluster::startServer(int n)
 {
     auto name = "s" + std::to_string(n);
-    spawn(name,
+    m_processes.spawn(name,
         { "standin_server", "--listen", addressOf(serverPort(n)), "--name", name, "--slots", "2", "--service-time-us",
-            "1000", "--record", (m_folder / (name + ".record")).string() });
+            "1000", "--record", (m_processes.folder() / (name + ".record")).string() });
 }
 
-void Cluster::signalDaemon(int n, int signal)
+void Cluster::signal(const std::string& name, int number)
 {
-    auto name = "e" + std::to_string(n);
-    ::kill(m_processes.at(name), signal);
-    if (signal != SIGKILL)
-        return;
-    ::waitpid(m_processes.at(name), nullptr, 0);
-    m_processes.erase(name);
+    m_processes.signal(name, number);
+    if (number == SIGKILL)
+        m_processes.wait(name);
 }
 
-void Cluster::signalServer(int n, int signal)
+void Cluster::signalDaemon(int n, int signal)
 {
-    auto name = "s" + std::to_string(n);
-    ::kill(m_processes.at(name), signal);
-    if (signal != SIGKILL)
-        return;
-    ::waitpid(m_processes.at(name), nullptr, 0);
-    m_processes.erase(name);
+    this->signal("e" + std::to_string(n), signal);
 }
 
-int Cluster::waitProcess(const std::string& name)
+void Cluster::signalServer(int n, int signal)
 {
-    int state = 0;
-    ::waitpid(m_processes.at(name), &state, 0);
-    m_processes.erase(name);
-    return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+    this->signal("s" + std::to_string(n), signal);
 }
 
 net::Exchange Cluster::call(unsigned port, net::Request request, std::chrono::milliseconds timeout) const
@@ -328,7 +228,7 @@
 {
     std::vector<Executed> executed;
     for (int n = 1; n <= servers; ++n) {
-        std::ifstream in(m_folder / ("s" + std::to_string(n) + ".record"));
+        std::ifstream in(m_processes.folder() / ("s" + std::to_string(n) + ".record"));
         Executed it;
         while (in >> it.requestId >> it.key >> it.method >> it.server >> it.fence.epoch >> it.fence.sequence >> it.time)
             executed.push_back(it);
@@ -338,7 +238,7 @@
 
 std::string Cluster::logOf(const std::string& name) const
 {
-    std::ifstream in(m_folder / (name + ".log"));
+    std::ifstream in(m_processes.folder() / (name + ".log"));
     std::stringstream text;
     text << in.rdbuf();
     return text.str();
--- a/tests/e2e/cluster.hpp
+++ b/tests/e2e/cluster.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "net/net.hpp"
+#include "e2e/fault_relay.hpp"
+#include "e2e/processes.hpp"
 
 #include <atomic>
-#include <boost/asio/steady_timer.hpp>
-#include <filesystem>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -15,32 +14,6 @@
 
 namespace acaciagauge::e2e {
 
-/// @brief A TCP relay that can be cut; stands between two processes. Runs on its own thread.
-class CutRelay {
-public:
-    CutRelay(unsigned listenPort, unsigned targetPort);
-    ~CutRelay();
-    CutRelay(const CutRelay&) = delete;
-    CutRelay& operator=(const CutRelay&) = delete;
-
-    /// @brief Stops passing bytes on; connections stay open, as on a network partition.
-    void cut() { m_cut = true; }
-
-    /// @brief Passes bytes on again, those held back included.
-    void heal() { m_cut = false; }
-
-private:
-    net::asio::awaitable<void> acceptLoop();
-    net::asio::awaitable<void> pump(
-        std::shared_ptr<net::asio::ip::tcp::socket> from, std::shared_ptr<net::asio::ip::tcp::socket> to);
-
-    net::asio::io_context m_context { 1 };
-    net::asio::ip::tcp::acceptor m_acceptor;
-    unsigned m_targetPort;
-    std::atomic<bool> m_cut { false };
-    std::thread m_thread;
-};
-
 /// @brief What a caller was told about one request.
 struct Told {
     std::string requestId;
@@ -74,11 +47,11 @@
     void signalDaemon(int n, int signal);
     void signalServer(int n, int signal);
     /// @brief Waits for a daemon's end. @return its exit code, or -1 if a signal ended it
-    int waitDaemon(int n) { return waitProcess("e" + std::to_string(n)); }
-    int waitServer(int n) { return waitProcess("s" + std::to_string(n)); }
+    int waitDaemon(int n) { return m_processes.wait("e" + std::to_string(n)); }
+    int waitServer(int n) { return m_processes.wait("s" + std::to_string(n)); }
     void platformFaults(const nlohmann::json& faults);
     void serverFaults(int n, const nlohmann::json& faults);
-    CutRelay& rpcRelay(int n) { return *m_relays.at(n); }
+    FaultRelay& rpcRelay(int n) { return *m_relays.at(n); }
 
     net::Exchange call(
         unsigned port, net::Request request, std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
@@ -100,16 +73,14 @@
     [[nodiscard]] unsigned serverPort(int n) const { return m_base + 400 + static_cast<unsigned>(n); }
 
 private:
-    pid_t spawn(const std::string& name, std::vector<std::string> arguments);
-    int waitProcess(const std::string& name);
+    void signal(const std::string& name, int number);
     void writeSettings(int n);
     void loadLoop(int daemon, int worker);
     static std::string addressOf(unsigned port) { return "127.0.0.1:" + std::to_string(port); }
 
     unsigned m_base;
-    std::filesystem::path m_folder;
-    std::map<std::string, pid_t> m_processes;
-    std::map<int, std::unique_ptr<CutRelay>> m_relays;
+    Processes m_processes;
+    std::map<int, std::unique_ptr<FaultRelay>> m_relays;
     std::vector<std::thread> m_load;
     std::atomic<bool> m_loading { false };
     mutable std::mutex m_mutex;
