--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -6,7 +6,7 @@
 trap 'rm -rf "$SCRATCH"' EXIT
 git ls-files -co --exclude-standard | xargs -I{} cp --parents {} "$SCRATCH"
 cmake -S "$SCRATCH" -B "$SCRATCH/build" >/dev/null || exit 1
-make -C "$SCRATCH/build" -j"$(nproc)" test_homes test_ownership test_requests test_tickets >/dev/null 2>&1 || exit 1
+make -C "$SCRATCH/build" -j"$(nproc)" test_homes test_key_ownership test_ownership test_requests test_tickets >/dev/null 2>&1 || exit 1
 status=0
 count=0
 
@@ -47,5 +47,11 @@
 mutant "give a partition away before it is settled" test_homes $keeper 's/isConfirmed \&\& situation.isSettled/isConfirmed/' 20000
 mutant "give without confirming the epoch" test_homes $keeper 's/bool isConfirmed = .*/bool isConfirmed = known != nullptr;/' 20000
 mutant "take back what is being given" test_homes $keeper 's/\&\& !isGiven/\&\& (!isGiven || isGiven)/' 20000
+keys=src/core/ownership/key_keeper.cpp
+mutant "grant before the owner is recorded" test_key_ownership $keys 's/bool isRecorded = .*/bool isRecorded = true;/'
+mutant "wait out half of a hold" test_key_ownership $keys 's/withMargin(hold, m_options.clockMargin)/hold \/ 2/'
+mutant "forget an order without an answer" test_key_ownership $keys 's/range.mayReturn = true;/range.mayReturn = false;/'
+mutant "renew under the old fence" test_key_ownership $keys '/outdates every late order/{n;s/freshFence(range);/static_cast<void>(0);/}'
+mutant "take over without the former controller's holds" test_key_ownership $keys 's/keeper.noteHold(range, options.hold, .*/static_cast<void>(0);/'
 echo "$count mutants"
 exit $status
