A request is not sent to a server that has left while it waited for room

Whether the server may still be used was asked when it was chosen, not again when the request was sent.

Change: it is asked just before the first byte.

--- a/src/entry/request_path.cpp
+++ b/src/entry/request_path.cpp
@@ -228,6 +228,15 @@
     return server;
 }
 
+// A request may have waited for room, or for a connection, since its server was chosen.
+bool RequestPath::hasLeft(const ServerRun& run) const
+{
+    const auto* server = m_catalog.servers().find(run.id);
+    if (!server || server->entry.run != run)
+        return true;
+    return server->standing != ServerStanding::ready && monotonicNow() - server->since > m_options.leavingUse;
+}
+
 // Returns null with job.cause set if there is none in time.
 awaitable<const KnownServer*> RequestPath::findServer(Job& job)
 {
@@ -329,8 +338,9 @@
     // Work that is not idempotent runs to its end, whoever still waits for it.
     if (job.history.idempotent)
         options.cancellation = job.cancellation;
-    else
-        options.mayStillSend = [cancellation = job.cancellation] { return !cancellation->isCancelled(); };
+    options.mayStillSend = [this, cancellation = job.cancellation, run = server.entry.run] {
+        return !cancellation->isCancelled() && !hasLeft(run);
+    };
     auto request = buildRequest(job, server);
     auto exchange = co_await m_client->exchange(server.entry.address, std::move(request), std::move(options));
     auto sent = classify(job, std::move(exchange));
--- a/tests/test_http_session.cpp
+++ b/tests/test_http_session.cpp
@@ -164,7 +164,7 @@
     CHECK(exchange.response.body() == "mine");
 }
 
-TEST_CASE("a server that stops answers what was sent on a fresh connection that it had not accepted, or not read, by then")
+TEST_CASE("a server that stops answers what is sent on fresh connections, accepted or not")
 {
     auto isAccepted = GENERATE(false, true);
     Fixture fixture;
