--- a/include/acaciagauge/detail/ownership/key_keeper.hpp
+++ b/include/acaciagauge/detail/ownership/key_keeper.hpp
@@ -52,13 +52,10 @@
 struct KeyLoadReported {
     LoadReport report;
 };
-struct KeyRunEnded {
-    ServerRun run; ///< Proved to have ended: it holds nothing any more.
-};
 /// @}
 
-using KeyEvent = std::variant<KeyTick, KeyServersChanged, KeyServicesChanged, KeyOrderEnded, KeyRecordEnded,
-    KeyLoadReported, KeyRunEnded>;
+using KeyEvent
+    = std::variant<KeyTick, KeyServersChanged, KeyServicesChanged, KeyOrderEnded, KeyRecordEnded, KeyLoadReported>;
 
 /// @name Actions of a KeyKeeper
 /// @{
@@ -196,7 +193,6 @@
     void onOrderEnded(const KeyOrderEnded& event, TimePoint now);
     void onRecordEnded(const KeyRecordEnded& event, TimePoint now);
     void onLoad(const KeyLoadReported& event, TimePoint now);
-    void onRunEnded(const ServerRun& run);
 
     void loseReplaced();
     static Service newService(TimePoint now);
--- a/src/core/ownership/key_keeper.cpp
+++ b/src/core/ownership/key_keeper.cpp
@@ -94,8 +94,6 @@
         onRecordEnded(*record, now);
     else if (const auto* load = std::get_if<KeyLoadReported>(&event))
         onLoad(*load, now);
-    else if (const auto* run = std::get_if<KeyRunEnded>(&event))
-        onRunEnded(run->run);
     if (!std::holds_alternative<KeyLoadReported>(event))
         onTick(now);
     return std::move(m_actions);
@@ -305,16 +303,6 @@
     }
 }
 
-void KeyKeeper::onRunEnded(const ServerRun& run)
-{
-    for (auto& service : m_services) {
-        for (auto& it : service.second.ranges) {
-            if (it.second.state != RangeState::unowned && it.second.owner == run)
-                lose(service.first, it.second, "the server's process has ended");
-        }
-    }
-}
-
 void KeyKeeper::divide(const ServiceName& name, Service& service, TimePoint now)
 {
     auto joined = m_lastJoin.find(name);
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -225,11 +225,12 @@
 
     void breakConnection(const std::shared_ptr<Connection>& connection) { connection->broken = true; }
 
-    void sendControl(const std::string& address, const PeerMessage& message, std::function<void(RpcReach)> done)
+    /// Sends a call without an answer of its own and tells whether it arrived.
+    /// @param fill builds the call from the peer's client
+    template <typename Fill> void deliver(const std::string& address, Fill fill, std::function<void(RpcReach)> done)
     {
-        auto sent = connect(address).then([this, message, done](std::shared_ptr<Connection> connection) {
-            auto request = connection->peer.controlRequest();
-            toWire(message, request.initMessage());
+        auto sent = connect(address).then([this, fill, done](std::shared_ptr<Connection> connection) {
+            auto request = fill(connection->peer);
             auto answered = io->provider->getTimer().timeoutAfter(controlTimeout, request.send().ignoreResult());
             return answered
                 .then([done] { done(RpcReach::reached); },
@@ -243,6 +244,16 @@
             sent.catch_([this, address, done](kj::Exception&& exception) { done(reachOf(address, exception)); }));
     }
 
+    void sendControl(const std::string& address, const PeerMessage& message, std::function<void(RpcReach)> done)
+    {
+        auto fill = [message](wire::Peer::Client& peer) {
+            auto request = peer.controlRequest();
+            toWire(message, request.initMessage());
+            return request;
+        };
+        deliver(address, fill, std::move(done));
+    }
+
     void sendForward(
         const std::string& address, std::shared_ptr<ForwardRequest> request, std::function<void(ForwardReply)> done)
     {
@@ -301,20 +312,12 @@
 
     void sendLoad(const std::string& address, const LoadReport& report, std::function<void(RpcReach)> done)
     {
-        auto sent = connect(address).then([this, report, done](std::shared_ptr<Connection> connection) {
-            auto request = connection->peer.reportLoadRequest();
+        auto fill = [report](wire::Peer::Client& peer) {
+            auto request = peer.reportLoadRequest();
             toWire(report, request.initReport());
-            auto answered = io->provider->getTimer().timeoutAfter(controlTimeout, request.send().ignoreResult());
-            return answered
-                .then([done] { done(RpcReach::reached); },
-                    [this, connection, done](kj::Exception&&) {
-                        breakConnection(connection);
-                        done(RpcReach::unreachable);
-                    })
-                .attach(kj::cp(connection));
-        });
-        tasks->add(
-            sent.catch_([this, address, done](kj::Exception&& exception) { done(reachOf(address, exception)); }));
+            return request;
+        };
+        deliver(address, fill, std::move(done));
     }
 
     void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -110,6 +110,7 @@
 void Catalog::readMember(const StoreChange& change)
 {
     auto id = change.item.key.substr(std::string_view(membersPrefix).size());
+    ++m_memberChanges;
     m_members.erase(id);
     if (change.removed)
         return;
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -27,6 +27,10 @@
     [[nodiscard]] const ServerDirectory& servers() const { return m_servers; }
     [[nodiscard]] const KeyMap& keys() const { return m_keys; }
     [[nodiscard]] const std::map<InstanceId, MemberRecord>& members() const { return m_members; }
+
+    /// @brief Returns how often the members changed so far.
+    [[nodiscard]] std::uint64_t memberChanges() const { return m_memberChanges; }
+
     [[nodiscard]] const std::optional<ControllerRecord>& controller() const { return m_controller; }
 
     /// @brief Returns the desired state in force; null before the first one is known.
@@ -58,6 +62,7 @@
     ServerDirectory m_servers;
     KeyMap m_keys;
     std::map<InstanceId, MemberRecord> m_members;
+    std::uint64_t m_memberChanges = 0;
     std::optional<ControllerRecord> m_controller;
     std::shared_ptr<const DesiredState> m_desiredState;
     bool m_isStoreAvailable = false;
--- a/src/entry/controller_duty.cpp
+++ b/src/entry/controller_duty.cpp
@@ -33,6 +33,9 @@
     constexpr auto campaignStep = std::chrono::milliseconds(80);
     constexpr std::size_t campaignSteps = 12;
 
+    /// Wait after a call to the store that failed, while there is no controller.
+    constexpr auto retryInterval = std::chrono::milliseconds(200);
+
     /// Time for a release: the server answers when the work on the keys has ended.
     constexpr auto releaseTimeout = std::chrono::milliseconds(4000);
 
@@ -108,7 +111,7 @@
             { "leaseEnded", std::string(nameOf(ended)) } });
     bool isCurrent = co_await m_link.reload();
     if (!isCurrent)
-        co_await sleepFor(m_context, std::chrono::milliseconds(200));
+        co_await sleepFor(m_context, retryInterval);
 }
 
 awaitable<void> ControllerDuty::waitForVacancy()
@@ -135,7 +138,7 @@
     auto asked = Authority::now();
     auto lease = co_await m_store.openLease(leaseDuration);
     if (lease.status != StoreStatus::done) {
-        co_await sleepFor(m_context, std::chrono::milliseconds(200));
+        co_await sleepFor(m_context, retryInterval);
         co_return false;
     }
     const auto* epochItem = m_catalog.mirror().find(epochKey);
@@ -159,7 +162,7 @@
                 { "leaseEnded", std::string(nameOf(ended)) } });
         bool isCurrent = co_await m_link.reload();
         if (!isCurrent)
-            co_await sleepFor(m_context, std::chrono::milliseconds(200));
+            co_await sleepFor(m_context, retryInterval);
         co_return false;
     }
     m_lease = lease.lease;
--- a/src/entry/request_path.cpp
+++ b/src/entry/request_path.cpp
@@ -66,6 +66,12 @@
         return isNumber ? std::optional(number) : std::nullopt;
     }
 
+    /// The server has seen the request, whether or not it ran it; such sends draw on the retry budget.
+    bool isArrival(SendOutcome outcome)
+    {
+        return outcome != SendOutcome::notSent && outcome != SendOutcome::crowded;
+    }
+
     std::string millis(Duration duration)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -218,23 +224,24 @@
         reason = "owner " + owner->owner.id + " is not listed";
         return nullptr;
     }
-    auto sinceChange = monotonicNow() - server->since;
-    bool isLeaving = server->standing != ServerStanding::ready;
-    if (isLeaving && sinceChange > m_options.leavingUse) {
+    if (hasLeft(*server)) {
         reason = "owner " + owner->owner.id + " has left";
-        mayChangeSoon = sinceChange < moveTime;
+        mayChangeSoon = monotonicNow() - server->since < moveTime;
         return nullptr;
     }
     return server;
 }
 
+bool RequestPath::hasLeft(const KnownServer& server) const
+{
+    return server.standing != ServerStanding::ready && monotonicNow() - server.since > m_options.leavingUse;
+}
+
 // A request may have waited for room, or for a connection, since its server was chosen.
-bool RequestPath::hasLeft(const ServerRun& run) const
+bool RequestPath::mayBeSentTo(const ServerRun& run) const
 {
     const auto* server = m_catalog.servers().find(run.id);
-    if (!server || server->entry.run != run)
-        return true;
-    return server->standing != ServerStanding::ready && monotonicNow() - server->since > m_options.leavingUse;
+    return server && server->entry.run == run && !hasLeft(*server);
 }
 
 // Returns null with job.cause set if there is none in time.
@@ -291,9 +298,8 @@
         auto next = afterSend(job.history);
         if (next == AfterSend::answer)
             co_return passOn(job, std::move(sent.response));
-        bool isFree = sent.outcome == SendOutcome::notSent || sent.outcome == SendOutcome::crowded;
         bool mayGoOn = next != AfterSend::giveUp && !job.cancellation->isCancelled()
-            && (isFree || m_retries.take(job.service, instances(), monotonicNow()));
+            && (!isArrival(sent.outcome) || m_retries.take(job.service, instances(), monotonicNow()));
         if (!mayGoOn && sent.outcome == SendOutcome::failed)
             co_return passOn(job, std::move(sent.response));
         if (!mayGoOn && job.history.mayHaveRun > 0)
@@ -339,13 +345,12 @@
     if (job.history.idempotent)
         options.cancellation = job.cancellation;
     options.mayStillSend = [this, cancellation = job.cancellation, run = server.entry.run] {
-        return !cancellation->isCancelled() && !hasLeft(run);
+        return !cancellation->isCancelled() && mayBeSentTo(run);
     };
     auto request = buildRequest(job, server);
     auto exchange = co_await m_client->exchange(server.entry.address, std::move(request), std::move(options));
     auto sent = classify(job, std::move(exchange));
-    bool isArrival = sent.outcome != SendOutcome::notSent && sent.outcome != SendOutcome::crowded;
-    if (isArrival)
+    if (isArrival(sent.outcome))
         ++job.history.arrivals;
     if (sent.outcome == SendOutcome::unknown || sent.outcome == SendOutcome::failed)
         ++job.history.mayHaveRun;
--- a/src/entry/request_path.hpp
+++ b/src/entry/request_path.hpp
@@ -70,7 +70,8 @@
     boost::asio::awaitable<net::Response> carry(Job& job);
     boost::asio::awaitable<const KnownServer*> findServer(Job& job);
     const KnownServer* ownerOf(const Job& job, std::string& reason, bool& mayChangeSoon) const;
-    [[nodiscard]] bool hasLeft(const ServerRun& run) const;
+    [[nodiscard]] bool hasLeft(const KnownServer& server) const;
+    [[nodiscard]] bool mayBeSentTo(const ServerRun& run) const;
     boost::asio::awaitable<Sent> send(Job& job, KnownServer server, std::uint64_t work);
     net::Request buildRequest(const Job& job, const KnownServer& server) const;
     Sent classify(Job& job, net::Exchange exchange) const;
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -126,10 +126,10 @@
 awaitable<void> StoreLink::follow()
 {
     while (!m_stopped) {
-        if (m_catalog.members() != m_knownMembers) {
-            m_knownMembers = m_catalog.members();
+        if (m_catalog.memberChanges() != m_knownMemberChanges) {
+            m_knownMemberChanges = m_catalog.memberChanges();
             std::vector<StoreSources::Peer> peers;
-            for (const auto& it : m_knownMembers)
+            for (const auto& it : m_catalog.members())
                 peers.push_back({ it.first, it.second.domain, it.second.rpcAddress });
             m_sources.setPeers(std::move(peers));
         }
@@ -144,11 +144,11 @@
 
 awaitable<void> StoreLink::followStore()
 {
-    bool wasLoaded = m_isComplete;
+    bool wasComplete = m_isComplete;
     auto asked = std::chrono::steady_clock::now();
     auto revision = m_catalog.mirror().at();
     bool isDone = false;
-    if (m_isComplete)
+    if (wasComplete)
         isDone = co_await watch(watchWait);
     else
         isDone = co_await reload();
@@ -160,7 +160,7 @@
     }
     bool isNews = m_catalog.mirror().at() > revision;
     bool wasQuick = std::chrono::steady_clock::now() - asked < watchPause;
-    if (wasLoaded && (isNews || wasQuick))
+    if (wasComplete && (isNews || wasQuick))
         co_await daemon::sleepFor(m_context, watchPause);
 }
 
--- a/src/entry/store_link.hpp
+++ b/src/entry/store_link.hpp
@@ -53,7 +53,7 @@
     Catalog& m_catalog;
     Hooks m_hooks;
     StoreSources m_sources;
-    std::map<InstanceId, MemberRecord> m_knownMembers; ///< That m_sources was told about.
+    std::uint64_t m_knownMemberChanges = 0; ///< Of which m_sources was told.
     std::string m_source = storeItself; ///< "store", or the id of the peer that is followed.
     std::mt19937_64 m_random { std::random_device {}() };
     TimePoint
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -31,11 +31,11 @@
         m_thread.join();
 }
 
-std::vector<Call> Callers::stop()
+std::vector<e2e::Answer> Callers::stop()
 {
     m_stopped = true;
     m_thread.join();
-    return std::move(m_calls);
+    return std::move(m_answers);
 }
 
 asio::awaitable<void> Callers::ask(unsigned caller, std::uint64_t seed)
@@ -44,15 +44,15 @@
     auto client = net::HttpClient::create(m_context, {});
     std::uint64_t number = 0;
     while (!m_stopped) {
-        Call call;
-        call.daemon = random() % m_addresses.size();
-        call.answer.isBid = random() % 3 == 0;
-        call.answer.id = "c" + std::to_string(caller) + "-" + std::to_string(++number);
+        e2e::Answer answer;
+        auto address = m_addresses[random() % m_addresses.size()];
+        answer.isBid = random() % 3 == 0;
+        answer.id = "c" + std::to_string(caller) + "-" + std::to_string(++number);
         auto key = static_cast<unsigned>(random() % 65536);
-        auto request = e2e::callerRequest(call.answer, key, "/view/");
-        auto exchange = co_await client->exchange(m_addresses[call.daemon], std::move(request), callerTimeout);
-        e2e::readAnswer(exchange, call.answer);
-        m_calls.push_back(std::move(call));
+        auto request = e2e::callerRequest(answer, key, "/view/");
+        auto exchange = co_await client->exchange(address, std::move(request), callerTimeout);
+        e2e::readAnswer(exchange, answer);
+        m_answers.push_back(std::move(answer));
         asio::steady_timer timer(m_context, pause);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -9,12 +9,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-/// @brief One request of a caller.
-struct Call {
-    e2e::Answer answer;
-    std::size_t daemon = 0;
-};
-
 /// @brief Callers that ask all daemons on connections that they keep open. Runs on its own thread.
 class Callers {
 public:
@@ -25,14 +19,14 @@
 
     /// @brief Ends the load.
     /// @return all requests, those without an answer included
-    std::vector<Call> stop();
+    std::vector<e2e::Answer> stop();
 
 private:
     net::asio::awaitable<void> ask(unsigned caller, std::uint64_t seed);
 
     std::vector<std::string> m_addresses;
     net::asio::io_context m_context { 1 };
-    std::vector<Call> m_calls;
+    std::vector<e2e::Answer> m_answers;
     std::atomic<bool> m_stopped { false };
     std::thread m_thread;
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -63,17 +63,18 @@
         while (m_active > 0)
             pass();
         heal();
-        auto calls = callers.stop();
-        m_calls = calls.size();
+        auto answers = callers.stop();
+        m_requests = answers.size();
         m_served = static_cast<std::size_t>(
-            std::count_if(calls.begin(), calls.end(), [](const auto& it) { return it.answer.status == 200; }));
-        check(calls);
+            std::count_if(answers.begin(), answers.end(), [](const auto& it) { return it.status == 200; }));
+        for (const auto& it : brokenPromises(answers, m_cluster.record()))
+            m_broken.push_back(it);
         return m_broken;
     }
 
     void describe(std::ostream& out) const
     {
-        out << m_calls << " requests, " << m_served << " served, " << m_log.size() << " faults, " << m_broken.size()
+        out << m_requests << " requests, " << m_served << " served, " << m_log.size() << " faults, " << m_broken.size()
             << " broken promises\n";
         if (m_broken.empty())
             return;
@@ -323,15 +324,6 @@
             m_broken.emplace_back("not everything is served after the faults");
     }
 
-    void check(const std::vector<Call>& calls)
-    {
-        std::vector<Answer> answers;
-        for (const auto& it : calls)
-            answers.push_back(it.answer);
-        for (const auto& it : brokenPromises(answers, m_cluster.record()))
-            m_broken.push_back(it);
-    }
-
     Options m_options;
     std::mt19937_64 m_random;
     Clock::time_point m_started = Clock::now();
@@ -342,7 +334,7 @@
     std::vector<bool> m_busyServers;
     std::vector<unsigned> m_versions; ///< Last seen of each daemon, since its start.
     unsigned m_version = 1;
-    std::size_t m_calls = 0;
+    std::size_t m_requests = 0;
     std::size_t m_served = 0;
     std::vector<std::string> m_log;
     std::vector<std::string> m_broken;
