Store link: how old the copy was stands in the lines of what was heard; peers are asked through a hook

No logic changes. The link asks its peers by a hook, as it asks the store, so that a test can play both.

--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -21,6 +21,7 @@
 {
     m_source = source;
     m_changedAfter = changedAfter;
+    m_heardAge = changedAfter == TimePoint {} ? "" : std::to_string((monotonicNow() - changedAfter).count() / 1000);
     for (const auto& it : m_mirror.apply(std::move(delta)))
         read(it);
     m_changed.raise();
@@ -81,7 +82,7 @@
     logEvent(LogLevel::info, LogEvent::desiredStateInForce,
         { { "version", std::to_string(m_desiredState->version()) },
             { "revision", std::to_string(change.item.revision) },
-            { "routes", std::to_string(m_desiredState->routeCount()) }, { "source", m_source } });
+            { "routes", std::to_string(m_desiredState->routeCount()) }, { "source", m_source }, { "ageMs", m_heardAge } });
 }
 
 void Catalog::readServer(const StoreChange& change, TimePoint now)
@@ -91,7 +92,7 @@
     if (change.removed) {
         m_servers.remove(id, now, m_changedAfter);
         logEvent(LogLevel::info, LogEvent::serverGone,
-            { { "server", id }, { "revision", revision }, { "source", m_source } });
+            { { "server", id }, { "revision", revision }, { "source", m_source }, { "ageMs", m_heardAge } });
         return;
     }
     auto entry = m_documents.decodeServer(id, change.item.value);
@@ -105,7 +106,7 @@
         logEvent(LogLevel::info, entry->draining ? LogEvent::serverLeaving : LogEvent::serverListed,
             { { "server", id }, { "service", entry->service }, { "domain", entry->domain },
                 { "started", std::to_string(entry->run.startedMs) }, { "revision", revision },
-                { "source", m_source } });
+                { "source", m_source }, { "ageMs", m_heardAge } });
 }
 
 void Catalog::readMember(const StoreChange& change)
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -69,6 +69,7 @@
     bool m_isStoreAvailable = false;
     std::string m_source; ///< Of the changes that are being applied.
     TimePoint m_changedAfter; ///< Of the changes that are being applied.
+    std::string m_heardAge; ///< Time since m_changedAfter in ms, for the log; empty if it is not known.
     Signal m_changed;
 };
 
--- a/src/entry/controller_duty.hpp
+++ b/src/entry/controller_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/metrics.hpp"
+#include "daemon/rpc_node.hpp"
 #include "entry/catalog.hpp"
 #include "entry/keeper_actor.hpp"
 #include "entry/store_link.hpp"
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -74,7 +74,10 @@
 StoreLink::Hooks EntryNode::linkHooks()
 {
     StoreLink::Hooks hooks;
-    hooks.rpc = [this]() -> daemon::RpcNode& { return *m_rpc; };
+    hooks.changesSince = [this](const std::string& address, Revision after, std::chrono::milliseconds wait,
+                             std::function<void(std::optional<StoreNews>)> done) {
+        m_rpc->changesSince(address, after, wait, std::move(done));
+    };
     // Ports are the same on all instances; seeds name another port of theirs.
     for (const auto& it : m_settings.seeds) {
         auto seed = ipOf(it) + ":" + portOf(m_settings.rpcAddress);
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/rpc_node.hpp"
 #include "daemon/settings.hpp"
 #include "entry/controller_duty.hpp"
 #include "entry/membership.hpp"
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -180,7 +180,7 @@
 {
     std::function<void(std::function<void(std::optional<StoreNews>)>)> call
         = [this, address, after, wait](std::function<void(std::optional<StoreNews>)> done) {
-              m_hooks.rpc().changesSince(address, after, wait, std::move(done));
+              m_hooks.changesSince(address, after, wait, std::move(done));
           };
     co_return co_await daemon::awaitCallback<std::optional<StoreNews>>(m_context, call);
 }
--- a/src/entry/store_link.hpp
+++ b/src/entry/store_link.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "daemon/rpc_node.hpp"
 #include "entry/catalog.hpp"
 
 namespace acaciagauge::entry {
@@ -9,7 +8,10 @@
 class StoreLink {
 public:
     struct Hooks {
-        std::function<daemon::RpcNode&()> rpc;
+        /// Asks a peer what it knows beyond a revision; calls back with nothing if it does not answer.
+        std::function<void(const std::string& address, Revision after, std::chrono::milliseconds wait,
+            std::function<void(std::optional<StoreNews>)> done)>
+            changesSince;
         std::vector<std::string> seeds; ///< RPC addresses to ask before any member is known.
     };
 
