Store mirror: a follower compares checksums with the copy that it follows

Callers saw: requests sent to servers whose entries had been removed (DRAIN, suspected; the same holds for member records and key owners).

Cause: a copy that was read anew has no tombstones of what was removed before. Its deltas name no such removal, so a follower kept the server for ever, at the source's revision and as fresh as it. Class: a delta is answered from a state whose past is not known.

Change: each answer carries a checksum over keys and revisions of the whole copy, kept up to date with every change. A follower of the same revision whose checksum differs reads the store anew, or the peer's whole copy if the store does not answer. The checksum costs 8 bytes, and only followers that lack something read anew. Event 307 tells.

--- a/include/acaciagauge/detail/store/store_mirror.hpp
+++ b/include/acaciagauge/detail/store/store_mirror.hpp
@@ -32,6 +32,7 @@
     Revision at = 0; ///< All changes up to this revision are known.
     bool isSnapshot = false; ///< The changes are all items; a key that is not among them does not exist.
     std::vector<StoreChange> changes;
+    std::optional<std::uint64_t> checksum; ///< Of all items of the mirror that tells this; the store tells none.
 };
 
 /// @brief What a peer knows of the store beyond some revision, and how fresh its knowledge is.
@@ -55,8 +56,14 @@
     std::vector<StoreChange> apply(StoreDelta delta);
 
     /// @brief Returns what changed after a revision, as a snapshot if removals since then were forgotten.
+    ///
+    /// Removals from before this mirror's first snapshot are not among the changes: whoever takes them in compares
+    /// checksums.
     [[nodiscard]] StoreDelta since(Revision revision) const;
 
+    /// @brief Returns false if another mirror of the same revision holds other items.
+    [[nodiscard]] bool agrees(Revision at, std::optional<std::uint64_t> checksum) const;
+
     /// @brief Returns the revision up to which all changes are known; 0 before the first delta.
     [[nodiscard]] Revision at() const { return m_at; }
 
@@ -71,11 +78,13 @@
     {
     }
     bool applyOne(const StoreChange& change);
+    static std::uint64_t checksumOf(const StoreItem& item);
     void remember(const std::string& key, Revision revision);
 
     Options m_options;
     Revision m_at = 0;
     std::map<std::string, StoreItem> m_items;
+    std::uint64_t m_checksum = 0; ///< Sum over all items.
     std::map<std::string, Revision> m_tombstones; ///< Removed keys and the revision of their removal.
     std::deque<std::pair<Revision, std::string>> m_tombstoneOrder;
     Revision m_forgottenUpTo = 0; ///< Removals up to this revision may be unknown.
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -150,6 +150,7 @@
   at @0 :UInt64;
   isSnapshot @1 :Bool;
   changes @2 :List(StoreChange);
+  checksum @3 :UInt64;  # Of all items that the sender holds.
 }
 
 interface Peer {
--- a/src/core/store/store_mirror.cpp
+++ b/src/core/store/store_mirror.cpp
@@ -1,6 +1,8 @@
 #include "acaciagauge/acaciagauge.hpp"
 
 #include <algorithm>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace acaciagauge {
 
@@ -29,6 +31,16 @@
     }
 }
 
+std::uint64_t StoreMirror::checksumOf(const StoreItem& item)
+{
+    return XXH3_64bits_withSeed(item.key.data(), item.key.size(), item.revision);
+}
+
+bool StoreMirror::agrees(Revision at, std::optional<std::uint64_t> checksum) const
+{
+    return !checksum || at != m_at || *checksum == m_checksum;
+}
+
 bool StoreMirror::applyOne(const StoreChange& change)
 {
     const auto& key = change.item.key;
@@ -39,13 +51,16 @@
     auto it = m_items.find(key);
     if (it != m_items.end() && it->second.revision >= revision)
         return false;
+    bool existed = it != m_items.end();
+    if (existed)
+        m_checksum -= checksumOf(it->second);
     if (change.removed) {
-        bool existed = it != m_items.end();
         if (existed)
             m_items.erase(it);
         remember(key, revision);
         return existed;
     }
+    m_checksum += checksumOf(change.item);
     m_items[key] = change.item;
     return true;
 }
@@ -80,6 +95,7 @@
 {
     StoreDelta delta;
     delta.at = m_at;
+    delta.checksum = m_checksum;
     delta.isSnapshot = revision < m_forgottenUpTo || revision == 0;
     for (const auto& it : m_items) {
         if (delta.isSnapshot || it.second.revision > revision)
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -76,6 +76,8 @@
             return "storeSource";
         case LogEvent::storeSourceLost:
             return "storeSourceLost";
+        case LogEvent::storeCopyDiffers:
+            return "storeCopyDiffers";
         case LogEvent::storeCallFailed:
             return "storeCallFailed";
         case LogEvent::requestDone:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -38,6 +38,7 @@
     storeCallFailed = 304,
     storeSource = 305,
     storeSourceLost = 306,
+    storeCopyDiffers = 307,
     requestUnknownOutcome = 401,
     requestDone = 402,
     requestRefused = 403,
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -337,6 +337,7 @@
 {
     out.setAt(delta.at);
     out.setIsSnapshot(delta.isSnapshot);
+    out.setChecksum(delta.checksum.value_or(0));
     auto changes = out.initChanges(static_cast<unsigned>(delta.changes.size()));
     unsigned n = 0;
     for (const auto& it : delta.changes) {
@@ -353,6 +354,7 @@
     StoreDelta delta;
     delta.at = in.getAt();
     delta.isSnapshot = in.getIsSnapshot();
+    delta.checksum = in.getChecksum();
     for (auto it : in.getChanges()) {
         auto value = it.getValue();
         StoreItem item { it.getKey(), std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -192,9 +192,13 @@
     if (news && news->delta.at >= m_catalog.mirror().at()) {
         bool isNews = news->delta.at > m_catalog.mirror().at();
         auto upToDateAt = m_confirmedAt;
+        auto at = news->delta.at;
+        auto checksum = news->delta.checksum;
+        m_catalog.apply(std::move(news->delta), "peer", upToDateAt);
+        if (!m_catalog.mirror().agrees(at, checksum))
+            co_return co_await readAnew(peer, upToDateAt);
         if (news->age <= freshness)
             confirm(monotonicNow() - news->age);
-        m_catalog.apply(std::move(news->delta), "peer", upToDateAt);
         m_isComplete = true;
         if (news->age <= freshness && isNews)
             co_await daemon::sleepFor(m_context, watchPause);
@@ -213,6 +217,25 @@
         co_await daemon::sleepFor(m_context, backoff());
 }
 
+// The peer may have read the store anew and know of no removal from before that. Its whole copy is asked for only if the
+// store does not answer: many followers may need one at the same time.
+awaitable<void> StoreLink::readAnew(StoreSources::Peer peer, TimePoint upToDateAt)
+{
+    logEvent(LogLevel::info, LogEvent::storeCopyDiffers,
+        { { "peer", peer.id }, { "revision", std::to_string(m_catalog.mirror().at()) } });
+    m_isComplete = false;
+    bool isCurrent = co_await reload();
+    if (isCurrent)
+        co_return;
+    auto whole = co_await ask(peer.rpcAddress, 0, std::chrono::milliseconds(0));
+    if (whole && whole->delta.at >= m_catalog.mirror().at()) {
+        m_catalog.apply(std::move(whole->delta), "peer", upToDateAt);
+        m_isComplete = true;
+        co_return;
+    }
+    co_await daemon::sleepFor(m_context, backoff());
+}
+
 awaitable<void> StoreLink::askSeed()
 {
     if (m_hooks.seeds.empty())
--- a/src/entry/store_link.hpp
+++ b/src/entry/store_link.hpp
@@ -38,6 +38,7 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> followStore();
     boost::asio::awaitable<void> followPeer(StoreSources::Peer peer);
+    boost::asio::awaitable<void> readAnew(StoreSources::Peer peer, TimePoint upToDateAt);
     boost::asio::awaitable<void> askSeed();
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
     boost::asio::awaitable<std::optional<StoreNews>> ask(
--- a/tests/test_store_mirror.cpp
+++ b/tests/test_store_mirror.cpp
@@ -79,3 +79,60 @@
     });
     CHECK(holds);
 }
+
+TEST_CASE("mirrors that restart and follow one another in any order hold what the store held, or disagree")
+{
+    bool holds = rc::check("follow in any order", [] {
+        constexpr unsigned mirrorCount = 4;
+        StoreMirror::Options options;
+        options.maxTombstones = 3;
+        std::vector<StoreMirror> mirrors(mirrorCount, StoreMirror::create(options));
+        std::map<Revision, std::map<std::string, StoreItem>> states { { 1, {} } };
+        Revision revision = 1;
+        auto steps = *rc::gen::container<std::vector<std::tuple<int, unsigned, unsigned>>>(rc::gen::tuple(
+            rc::gen::inRange(0, 7), rc::gen::inRange(0U, mirrorCount), rc::gen::inRange(0U, mirrorCount)));
+        for (const auto& [what, first, second] : steps) {
+            auto& mirror = mirrors[first];
+            auto key = std::string(1, static_cast<char>('a' + second));
+            auto state = states.at(revision);
+            switch (what) {
+            case 0:
+            case 1:
+                ++revision;
+                state[key] = { key, "value", revision };
+                states[revision] = state;
+                break;
+            case 2:
+                ++revision;
+                state.erase(key);
+                states[revision] = state;
+                break;
+            case 3:
+                mirror = StoreMirror::create(options);
+                break;
+            case 4: {
+                StoreDelta snapshot { revision, true, {}, {} };
+                for (const auto& it : state)
+                    snapshot.changes.push_back({ it.second, false });
+                mirror.apply(snapshot);
+                break;
+            }
+            default: {
+                const auto& source = mirrors[second];
+                if (source.at() < mirror.at() || source.at() == 0)
+                    break;
+                auto delta = source.since(mirror.at());
+                mirror.apply(delta);
+                if (!mirror.agrees(delta.at, delta.checksum))
+                    mirror.apply(source.since(0));
+                RC_ASSERT(mirror.agrees(delta.at, delta.checksum));
+                const auto& expected = states.at(mirror.at());
+                RC_ASSERT(mirror.items().size() == expected.size());
+                for (const auto& it : expected)
+                    RC_ASSERT(mirror.find(it.first) && mirror.find(it.first)->revision == it.second.revision);
+            }
+            }
+        }
+    });
+    CHECK(holds);
+}
