--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -85,7 +85,8 @@
     logEvent(LogLevel::info, LogEvent::desiredStateInForce,
         { { "version", std::to_string(m_desiredState->version()) },
             { "revision", std::to_string(change.item.revision) },
-            { "routes", std::to_string(m_desiredState->routeCount()) }, { "source", m_source }, { "ageMs", m_heardAge } });
+            { "routes", std::to_string(m_desiredState->routeCount()) }, { "source", m_source },
+            { "ageMs", m_heardAge } });
 }
 
 void Catalog::readServer(const StoreChange& change, TimePoint now)
@@ -108,8 +109,8 @@
     if (isNews)
         logEvent(LogLevel::info, entry->draining ? LogEvent::serverLeaving : LogEvent::serverListed,
             { { "server", id }, { "service", entry->service }, { "domain", entry->domain },
-                { "started", std::to_string(entry->run.startedMs) }, { "revision", revision },
-                { "source", m_source }, { "ageMs", m_heardAge } });
+                { "started", std::to_string(entry->run.startedMs) }, { "revision", revision }, { "source", m_source },
+                { "ageMs", m_heardAge } });
 }
 
 void Catalog::readMember(const StoreChange& change)
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -85,7 +85,8 @@
 // Instances that failed together must not come back in step.
 std::chrono::microseconds StoreLink::backoff()
 {
-    auto longest = std::min<std::chrono::microseconds>(longestBackoff, firstBackoff * (1U << std::min(m_freshness.failures(), 4U)));
+    auto longest = std::min<std::chrono::microseconds>(
+        longestBackoff, firstBackoff * (1U << std::min(m_freshness.failures(), 4U)));
     std::uniform_int_distribution<std::int64_t> jitter(longest.count() / 2, longest.count());
     return std::chrono::microseconds(jitter(m_random));
 }
@@ -233,8 +234,8 @@
         co_await daemon::sleepFor(m_context, backoff());
 }
 
-// The peer may have read the store anew and know of no removal from before that. Its whole copy is asked for only if the
-// store does not answer: many followers may need one at the same time.
+// The peer may have read the store anew and know of no removal from before that. Its whole copy is asked for only if
+// the store does not answer: many followers may need one at the same time.
 awaitable<void> StoreLink::readAnew(StoreSources::Peer peer, TimePoint heardAfter)
 {
     logEvent(LogLevel::info, LogEvent::storeCopyDiffers,
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace acaciagauge;
 using namespace acaciagauge::entry;
@@ -366,3 +367,164 @@
     world.run(2000ms);
     CHECK(world.ageOf(follower) < 1000ms);
 }
+
+namespace {
+
+/// Harms a world at random, and looks for what a machine in touch must know.
+class Trial {
+public:
+    explicit Trial(unsigned seed)
+        : m_world(2, 3)
+        , m_random(seed)
+    {
+        for (const auto& it : m_world.members)
+            m_harmedAt[it.first] = monotonicNow();
+        m_acknowledged["servers/a"] = { monotonicNow(), m_world.oracle.items.at("servers/a").revision };
+    }
+
+    /// @return what was wrong
+    std::vector<std::string> run(unsigned steps)
+    {
+        for (unsigned n = 0; n < steps && m_faults.empty(); ++n) {
+            step();
+            m_world.run(std::chrono::milliseconds(number(20, 300)));
+            for (const auto& it : m_world.members)
+                check(it.first);
+        }
+        if (m_checks == 0)
+            m_faults.push_back("no instance was ever in touch");
+        return m_faults;
+    }
+
+private:
+    /// Bounds of the users' deployments: a machine counts as in touch after this, changes are in force and leaving
+    /// servers are left alone within that, and the last of a leaving server's time is kept for requests that are on
+    /// their way.
+    static constexpr auto contact = 3000ms;
+    static constexpr auto inForce = 2000ms;
+    static constexpr auto leavingUse = 1300ms;
+
+    struct Change {
+        TimePoint at;
+        Revision revision = 0;
+    };
+
+    unsigned number(unsigned from, unsigned to) { return std::uniform_int_distribution<unsigned>(from, to)(m_random); }
+
+    InstanceId instance() { return std::next(m_world.members.begin(), number(0, 5))->first; }
+
+    void write(const std::string& key, const std::string& value)
+    {
+        m_world.oracle.write(key, value);
+        m_acknowledged[key] = { monotonicNow(), m_world.oracle.revision };
+        m_left.erase(key);
+    }
+
+    void step()
+    {
+        auto id = instance();
+        auto key = "servers/" + std::to_string(number(0, 5));
+        bool isThere = m_world.oracle.items.contains(key);
+        switch (number(0, 13)) {
+        case 0:
+        case 1:
+            if (!isThere)
+                write(key, "ready");
+            break;
+        case 2:
+            if (isThere && !m_left.contains(key)) {
+                write(key, "draining");
+                m_left[key] = monotonicNow();
+            }
+            break;
+        case 3:
+        case 4:
+            if (isThere) {
+                m_world.oracle.remove(key);
+                m_acknowledged.erase(key);
+                m_left.try_emplace(key, monotonicNow());
+            }
+            break;
+        case 5:
+            m_world.oracle.forgetHistory();
+            break;
+        case 6:
+            harm(id);
+            m_world.start(id);
+            break;
+        case 7:
+            harm(id);
+            if (m_world.refused.erase(id) == 0)
+                m_world.refused.insert(id);
+            break;
+        case 8:
+            harm(id);
+            if (m_world.unreachable.erase(id) == 0)
+                m_world.unreachable.insert(id);
+            break;
+        case 9:
+            harm(id);
+            m_world.answersLate[id] = m_world.answersLate[id] > 0ms ? 0ms : std::chrono::milliseconds(number(1, 300));
+            break;
+        default:
+            break;
+        }
+    }
+
+    void harm(const InstanceId& id) { m_harmedAt[id] = monotonicNow(); }
+
+    bool isHarmed(const InstanceId& id)
+    {
+        if (m_world.refused.contains(id) || m_world.unreachable.contains(id) || m_world.answersLate[id] > 0ms)
+            harm(id);
+        return monotonicNow() - m_harmedAt[id] < contact;
+    }
+
+    void check(const InstanceId& id)
+    {
+        if (isHarmed(id))
+            return;
+        ++m_checks;
+        auto now = monotonicNow();
+        const auto& catalog = m_world.running.at(id)->catalog;
+        for (const auto& it : m_acknowledged) {
+            const auto* item = catalog.mirror().find(it.first);
+            if (now - it.second.at > inForce && (!item || item->revision < it.second.revision))
+                m_faults.push_back(id + " does not know " + it.first);
+        }
+        for (const auto& it : m_left) {
+            const auto* server = catalog.servers().find(it.first.substr(8));
+            bool isUsed
+                = server && (server->standing == ServerStanding::ready || now - server->leavingSince < leavingUse);
+            if (now - it.second > inForce && isUsed)
+                m_faults.push_back(id + " still uses " + it.first);
+        }
+    }
+
+    World m_world;
+    std::mt19937 m_random;
+    std::map<InstanceId, TimePoint> m_harmedAt;
+    std::map<std::string, Change> m_acknowledged; ///< Newest changes of the items that are there.
+    std::map<std::string, TimePoint> m_left; ///< Servers that leave or left, and since when.
+    std::vector<std::string> m_faults;
+    unsigned m_checks = 0;
+};
+
+} // namespace
+
+TEST_CASE("what the store acknowledged is known in time by every instance in touch, whatever happened to the others")
+{
+    constexpr unsigned trialCount = 24;
+    const char* first = std::getenv("FOLLOWING_SEED");
+    auto firstSeed = first ? static_cast<unsigned>(std::stoul(first)) : 1U;
+    std::vector<std::vector<std::string>> faults(trialCount);
+    std::vector<std::thread> threads;
+    for (unsigned n = 0; n < trialCount; ++n)
+        threads.emplace_back([&, n] { faults[n] = Trial(firstSeed + n).run(90); });
+    for (auto& it : threads)
+        it.join();
+    for (unsigned n = 0; n < trialCount; ++n) {
+        INFO("seed " << firstSeed + n);
+        CHECK(faults[n] == std::vector<std::string> {});
+    }
+}
