Tests: the two refused calls are counted; the settings template has one line more

The case of two refused calls failed once in ctest beside other tests: it refused all calls for 300 ms, and the backoff after a third one may be longer than the case waited. It now refuses exactly the two that it names. test_settings names a line of the template, which has a new line before it.

--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -98,7 +98,7 @@
     auto settings = readWith("bounds.grace_s", "soon");
     REQUIRE_FALSE(settings);
     CHECK(settings.error().message
-        == "settings.toml:29: leaving.grace_s: must be a number from 0.5 to 600, found \"soon\"");
+        == "settings.toml:30: leaving.grace_s: must be a number from 0.5 to 600, found \"soon\"");
     CHECK_FALSE(readWith("bounds.retry_budget_slack", "nan"));
     CHECK_FALSE(readWith("bounds.retry_budget_slack", "-1"));
     CHECK_FALSE(readWith("bounds.hold_max_ms", "10 000"));
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -137,6 +137,10 @@
         store.watch = [this, id](Revision after, std::chrono::milliseconds wait) -> awaitable<ports::StoreReply> {
             ++calls[id];
             co_await sleep(storeWay);
+            if (callsToRefuse > 0) {
+                --callsToRefuse;
+                co_return ports::StoreReply { ports::StoreStatus::refused, {} };
+            }
             auto until = monotonicNow() + wait;
             while (!isRefused(id) && oracle.revision <= after && monotonicNow() < until)
                 co_await sleep(2ms);
@@ -236,6 +240,7 @@
     std::set<InstanceId> refused; ///< By the store.
     std::set<InstanceId> unreachable; ///< For the other instances.
     std::optional<StoreNews> cannedAnswer; ///< What all peers answer.
+    unsigned callsToRefuse = 0;
     bool isStoreAway = false;
 };
 
@@ -260,10 +265,9 @@
 {
     World world(1, 1);
     REQUIRE(world.isInUse("i0-0", "a"));
-    world.refused.insert("i0-0");
-    world.run(300ms);
-    world.refused.clear();
-    world.run(300ms);
+    world.callsToRefuse = 2;
+    world.run(800ms);
+    REQUIRE(world.callsToRefuse == 0);
     world.oracle.remove("servers/a");
     world.run(300ms);
     CHECK_FALSE(world.isInUse("i0-0", "a"));
