--- a/include/acaciagauge/detail/relay/store_freshness.hpp
+++ b/include/acaciagauge/detail/relay/store_freshness.hpp
@@ -11,8 +11,8 @@
 class StoreFreshness {
 public:
     struct Options {
-        unsigned lostAfter
-            = 2; ///< Failures in a row that make the store a lost dependency: one lost answer says little.
+        /// Failures in a row that make the store a lost dependency: one lost answer says little.
+        unsigned lostAfter = 2;
         /// Entries lapse when their servers could not write for longer than one of their heartbeats.
         Duration shortestOutage = std::chrono::milliseconds(870);
     };
--- a/include/acaciagauge/detail/store/store_mirror.hpp
+++ b/include/acaciagauge/detail/store/store_mirror.hpp
@@ -40,9 +40,7 @@
     StoreDelta delta;
     Duration age { 0 }; ///< At the answer: since the store last confirmed that nothing newer exists.
     Duration held { 0 }; ///< How long the question waited for the answer at the peer.
-    Duration steady {
-        0
-    }; ///< At the answer: how long the store has answered without an outage, as far as the peer knows.
+    Duration steady { 0 }; ///< At the answer: how long the peer knows the store to have answered without an outage.
 };
 
 /// @brief Copy of the store's keys in memory. Orders all changes by revision and never goes back.
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -21,9 +21,9 @@
     /// Longest wait of one watch, and of one question to a peer: the heartbeat by which a silent source is noticed.
     constexpr auto watchWait = std::chrono::milliseconds(500);
 
-    /// A peer's knowledge that is older is not followed. Changes have to be in force within two seconds, of which a
-    /// source may be silent for one and a call to the store may take the rest.
-    constexpr auto freshness = std::chrono::milliseconds(1000);
+    /// A peer's knowledge that is older is not followed. Changes have to be in force within two seconds; a call to the
+    /// store takes the rest.
+    constexpr auto freshness = std::chrono::milliseconds(1250);
 
     /// Wait between two watches, or two questions to a peer. Each answer costs a call, however few events it brings.
     constexpr auto watchPause = std::chrono::milliseconds(80);
@@ -33,7 +33,7 @@
     constexpr auto longestBackoff = std::chrono::milliseconds(600);
 
     /// Left of `freshness` when a watch ends: for its answer's way, and for the followers' questions that meet it.
-    constexpr auto freshnessMargin = std::chrono::milliseconds(250);
+    constexpr auto freshnessMargin = std::chrono::milliseconds(400);
     constexpr auto shortestWatch = std::chrono::milliseconds(100);
 
 } // namespace
