--- a/include/acaciagauge/detail/relay/store_freshness.hpp
+++ b/include/acaciagauge/detail/relay/store_freshness.hpp
@@ -43,7 +43,7 @@
     /// @brief Returns the latest moment at which the copy is known to have been complete.
     [[nodiscard]] TimePoint confirmedAt() const { return m_confirmedAt; }
 
-    /// @brief Returns since when the store is known to answer without an outage; in the future if it is away.
+    /// @brief Returns since when the store is known to answer without an outage; TimePoint::max() if it is away.
     [[nodiscard]] TimePoint steadySince() const { return m_isAway ? TimePoint::max() : m_steadySince; }
 
     [[nodiscard]] unsigned failures() const { return m_failures; }
--- a/src/core/relay/store_freshness.cpp
+++ b/src/core/relay/store_freshness.cpp
@@ -25,7 +25,7 @@
 
 StoreFreshness::Change StoreFreshness::confirmByPeer(TimePoint trueAt, TimePoint steadySince)
 {
-    // The peer was reached by what it knows; this instance's own calls say nothing of the store while it is.
+    // Whoever follows a peer knows of the store what the peer knows.
     auto change = confirm(trueAt, steadySince <= m_failingSince);
     m_steadySince = steadySince;
     return change;
--- a/src/entry/store_link.cpp
+++ b/src/entry/store_link.cpp
@@ -34,6 +34,8 @@
 
     /// Left of `freshness` when a watch ends: for its answer's way, and for the followers' questions that meet it.
     constexpr auto freshnessMargin = std::chrono::milliseconds(400);
+
+    /// Least wait of a watch: below it, watches would be polls, each of which costs a call.
     constexpr auto shortestWatch = std::chrono::milliseconds(100);
 
 } // namespace
