Log events 304 and 306: which call failed, how long it took, own mirror's age

A loss of a source said how old the source's mirror was, but not the follower's own; a failed call to the store said neither which call nor how long it had lasted.

--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -66,6 +66,12 @@
     return bootNow() - m_freshness.confirmedAt();
 }
 
+// In ms; empty if the mirror was never confirmed.
+std::string StoreFollower::ageText() const
+{
+    return m_freshness.confirmedAt() == TimePoint {} ? "" : std::to_string(age().count() / 1000);
+}
+
 // In the catalog's clock, which is monotonicNow(); TimePoint {} if the mirror was never confirmed.
 TimePoint StoreFollower::upToDateAt() const
 {
@@ -80,9 +86,12 @@
     return std::clamp(left, minWatchWait, maxWatchWait);
 }
 
-void StoreFollower::noteFailure(StoreStatus status, TimePoint requestedAt)
+void StoreFollower::noteFailure(std::string_view call, StoreStatus status, TimePoint requestedAt)
 {
-    logEvent(LogLevel::debug, LogEvent::storeCallFailed, { { "status", std::string(nameOf(status)) } });
+    logEvent(LogLevel::info, LogEvent::storeCallFailed,
+        { { "call", std::string(call) }, { "status", std::string(nameOf(status)) },
+            { "ms", std::to_string((bootNow() - requestedAt).count() / 1000) },
+            { "ageMs", ageText() } });
     m_catalog.updateStoreAvailability(m_freshness.noteFailure(requestedAt));
     if (!m_catalog.isStoreAvailable())
         m_sources.suspect(m_self.id, monotonicNow());
@@ -103,7 +112,7 @@
     auto requestedAt = bootNow();
     auto reply = co_await m_store.readAll();
     if (reply.status != StoreStatus::done) {
-        noteFailure(reply.status, requestedAt);
+        noteFailure("readAll", reply.status, requestedAt);
         co_return false;
     }
     m_catalog.updateStoreAvailability(m_freshness.confirmByStore(requestedAt));
@@ -138,7 +147,7 @@
     if (reply.status == StoreStatus::compacted)
         m_freshness.noteAnswer();
     else
-        noteFailure(reply.status, requestedAt);
+        noteFailure("watch", reply.status, requestedAt);
     // A gap in the history requires a read of the whole store. A watch without a response leaves no gap.
     bool isGap = reply.status == StoreStatus::compacted || reply.status == StoreStatus::malformed;
     m_isComplete = m_isComplete && !isGap;
@@ -151,7 +160,7 @@
         return;
     m_source = std::move(source);
     logEvent(LogLevel::info, LogEvent::storeSource,
-        { { "source", m_source }, { "ageMs", std::to_string(age().count() / 1000) },
+        { { "source", m_source }, { "ageMs", ageText() },
             { "revision", std::to_string(m_catalog.mirror().revision()) } });
 }
 
@@ -235,7 +244,8 @@
     m_sources.suspect(peer.id, monotonicNow());
     logEvent(LogLevel::info, LogEvent::storeSourceLost,
         { { "peer", peer.id }, { "reason", update ? "its mirror is stale" : "no response" },
-            { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" } });
+            { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" },
+            { "ownAgeMs", ageText() } });
     // Missed changes are read from the store at once, since the next source may have failed too.
     bool isCurrent = co_await watch(std::chrono::milliseconds(0));
     if (!isCurrent && !m_isComplete)
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -46,9 +46,10 @@
     boost::asio::awaitable<std::optional<StoreUpdate>> requestChanges(
         std::string address, Revision after, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> removeLapsedLoop();
-    void noteFailure(ports::StoreStatus status, TimePoint requestedAt);
+    void noteFailure(std::string_view call, ports::StoreStatus status, TimePoint requestedAt);
     void setSource(std::string source);
     [[nodiscard]] Duration age() const;
+    [[nodiscard]] std::string ageText() const;
     [[nodiscard]] TimePoint upToDateAt() const;
     [[nodiscard]] std::chrono::milliseconds nextWatchWait() const;
     std::chrono::microseconds backoff();
