Instances that follow each other: a source names the instance that it follows

What callers could see: a route or service of an older version, for up to 1.25 s longer than the other faults of the moment explain.

Cause: after a watcher lost the store, it and its followers leave it out for 5 s each, counted from different moments. When the followers' time ends first, they return to an instance that still follows one of them; nobody of the domain watches, and both mirrors age until 1.25 s.

The new test "one of each failure domain watches it" failed on the untouched code and holds now.

Why it works: an answer to a follower names the answerer's source. A source that follows the asker is never used, one of the own domain that follows anybody only by an instance that cannot reach the store. The first request to a new source does not wait, so that an unusable one costs a round trip, and the present source stays until then. An instance without the new field counts as a watcher, as before.

--- a/include/acaciagauge/detail/relay/store_sources.hpp
+++ b/include/acaciagauge/detail/relay/store_sources.hpp
@@ -43,6 +43,13 @@
     /// @brief Skips an instance for a while after a failure. This instance may be suspected as well.
     void suspect(const InstanceId& id, TimePoint now);
 
+    /// @brief Returns whether a peer can serve as a source although it follows another instance itself.
+    ///
+    /// Instances that follow each other hear of nothing. A peer of the same failure domain must therefore watch the
+    /// store, unless this instance cannot do so either.
+    /// @param sourceOfPeer instance that the peer follows; empty if it watches the store
+    [[nodiscard]] bool isUsable(const Peer& peer, const InstanceId& sourceOfPeer, TimePoint now) const;
+
 private:
     StoreSources(Options options, InstanceId self, DomainId domain);
     [[nodiscard]] bool isSuspect(const InstanceId& id, TimePoint now) const;
--- a/include/acaciagauge/detail/store/store_mirror.hpp
+++ b/include/acaciagauge/detail/store/store_mirror.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "acaciagauge/detail/common/ids.hpp"
 #include "acaciagauge/detail/common/time.hpp"
 
 #include <cstdint>
@@ -41,6 +42,7 @@
     Duration age { 0 }; ///< Time since the store last confirmed that nothing newer exists.
     Duration held { 0 }; ///< How long the peer held the request until it responded (long polling).
     Duration availableFor { 0 }; ///< How long the store has responded to the peer without an outage.
+    InstanceId source; ///< Instance that the peer follows; empty if it watches the store.
 };
 
 /// @brief In-memory replica of the store's keys. Orders all changes by revision; its revision never decreases.
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -162,7 +162,8 @@
   # Returns the changes after a revision in the instance's mirror of the store. If there are none, the response is sent
   # after the wait. All times end when the response is sent: ageMicros is the time since the store last confirmed that
   # the mirror is complete, heldMicros the time since the request arrived, steadyMicros the time for which the store has
-  # been available without an outage.
+  # been available without an outage. source is the peer that the instance follows;
+  # empty if it watches the store.
   changesSince @5 (revision :UInt64, waitMillis :UInt32)
-    -> (delta :StoreDelta, ageMicros :UInt64, heldMicros :UInt64, steadyMicros :UInt64);
+    -> (delta :StoreDelta, ageMicros :UInt64, heldMicros :UInt64, steadyMicros :UInt64, source :Text);
 }
--- a/src/core/relay/store_sources.cpp
+++ b/src/core/relay/store_sources.cpp
@@ -44,6 +44,13 @@
     m_suspectUntil[id] = now + m_options.suspicionTime;
 }
 
+bool StoreSources::isUsable(const Peer& peer, const InstanceId& sourceOfPeer, TimePoint now) const
+{
+    if (sourceOfPeer.empty())
+        return true;
+    return sourceOfPeer != m_self && (peer.domain != m_domain || isSuspect(m_self, now));
+}
+
 std::vector<InstanceId> StoreSources::unsuspected(
     const std::vector<InstanceId>& order, std::size_t limit, TimePoint now) const
 {
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -109,6 +109,7 @@
                 context.getResults().setAgeMicros(static_cast<std::uint64_t>(news.age.count()));
                 context.getResults().setHeldMicros(static_cast<std::uint64_t>(news.held.count()));
                 context.getResults().setSteadyMicros(static_cast<std::uint64_t>(news.availableFor.count()));
+                context.getResults().setSource(news.source);
             });
         }
 
@@ -333,10 +334,12 @@
                 .timeoutAfter(wait.count() * kj::MILLISECONDS + changesSlack, call.send())
                 .then(
                     [done](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
-                        StoreUpdate news { fromWire(results.getDelta()) };
+                        StoreUpdate news;
+                        news.delta = fromWire(results.getDelta());
                         news.age = std::chrono::microseconds(results.getAgeMicros());
                         news.held = std::chrono::microseconds(results.getHeldMicros());
                         news.availableFor = std::chrono::microseconds(results.getSteadyMicros());
+                        news.source = results.getSource();
                         done(std::move(news));
                     },
                     [this, connection, done](kj::Exception&&) {
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -90,8 +90,7 @@
 {
     logEvent(LogLevel::info, LogEvent::storeCallFailed,
         { { "call", std::string(call) }, { "status", std::string(nameOf(status)) },
-            { "ms", std::to_string((bootNow() - requestedAt).count() / 1000) },
-            { "ageMs", ageText() } });
+            { "ms", std::to_string((bootNow() - requestedAt).count() / 1000) }, { "ageMs", ageText() } });
     m_catalog.updateStoreAvailability(m_freshness.noteFailure(requestedAt));
     if (!m_catalog.isStoreAvailable())
         m_sources.suspect(m_self.id, monotonicNow());
@@ -162,6 +161,8 @@
     logEvent(LogLevel::info, LogEvent::storeSource,
         { { "source", m_source }, { "ageMs", ageText() },
             { "revision", std::to_string(m_catalog.mirror().revision()) } });
+    // Ends the requests of followers that must not follow a follower.
+    m_catalog.changed().notifyAll();
 }
 
 awaitable<void> StoreFollower::follow()
@@ -175,11 +176,12 @@
             m_sources.setPeers(std::move(peers));
         }
         auto peer = m_catalog.isLoaded() ? m_sources.pick(monotonicNow()) : std::nullopt;
-        setSource(peer ? peer->id : storeSourceName);
-        if (peer)
+        if (peer) {
             co_await followPeer(*peer);
-        else
+        } else {
+            setSource(storeSourceName);
             co_await followStore();
+        }
     }
 }
 
@@ -218,10 +220,12 @@
 awaitable<void> StoreFollower::followPeer(StoreSources::Peer peer)
 {
     // Only changes are requested: a peer's history reaches further back than the store's, and a full mirror would be
-    // large.
+    // large. The first request does not wait, and the present source stays until the peer has proved to be usable.
     auto requestedAt = bootNow();
-    auto update = co_await requestChanges(peer.rpcAddress, m_catalog.mirror().revision(), maxWatchWait);
+    auto wait = peer.id == m_source ? maxWatchWait : std::chrono::milliseconds(0);
+    auto update = co_await requestChanges(peer.rpcAddress, m_catalog.mirror().revision(), wait);
     bool isFresh = update && update->age <= maxPeerAge;
+    bool isUsable = isFresh && m_sources.isUsable(peer, update->source, monotonicNow());
     bool hasChanges = false;
     if (update && update->delta.revision >= m_catalog.mirror().revision()) {
         hasChanges = update->delta.revision > m_catalog.mirror().revision();
@@ -237,15 +241,20 @@
         // Also if this mirror is ahead of the peer's: it was complete at least when the peer's was.
         m_catalog.updateStoreAvailability(
             m_freshness.confirmByPeer(requestedAt + update->held - update->age, bootNow() - update->availableFor));
+    }
+    if (isUsable) {
+        setSource(peer.id);
         if (hasChanges)
             co_await daemon::sleepFor(m_context, watchPause);
         co_return;
     }
     m_sources.suspect(peer.id, monotonicNow());
+    std::string reason = "no response";
+    if (update)
+        reason = isFresh ? "it follows " + update->source : "its mirror is stale";
     logEvent(LogLevel::info, LogEvent::storeSourceLost,
-        { { "peer", peer.id }, { "reason", update ? "its mirror is stale" : "no response" },
-            { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" },
-            { "ownAgeMs", ageText() } });
+        { { "peer", peer.id }, { "reason", reason },
+            { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" }, { "ownAgeMs", ageText() } });
     // Missed changes are read from the store at once, since the next source may have failed too.
     bool isCurrent = co_await watch(std::chrono::milliseconds(0));
     if (!isCurrent && !m_isComplete)
@@ -296,7 +305,10 @@
     // The wait ends when this instance's mirror becomes too old, so that the follower learns of it at once.
     auto until = std::chrono::steady_clock::time_point(
         monotonicNow() + std::min<Duration>(wait, std::max(Duration::zero(), Duration(maxPeerAge) - age())));
-    while (m_catalog.mirror().revision() <= after && std::chrono::steady_clock::now() < until) {
+    bool isWatching = m_source == storeSourceName;
+    auto mayWait
+        = [&] { return m_catalog.mirror().revision() <= after && isWatching == (m_source == storeSourceName); };
+    while (mayWait() && std::chrono::steady_clock::now() < until) {
         bool isChanged = co_await m_catalog.changed().wait(until);
         if (!isChanged)
             break;
@@ -307,6 +319,7 @@
     update.age = now - m_freshness.confirmedAt();
     update.held = now - requestedAt;
     update.availableFor = std::max(Duration::zero(), now - m_freshness.availableSince());
+    update.source = m_source == storeSourceName ? InstanceId() : m_source;
     co_return update;
 }
 
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -130,6 +130,10 @@
             co_await sleep(storeLatency);
             if (isRefused(id))
                 co_return ports::StoreReply { ports::StoreStatus::refused, {} };
+            if (unansweredByStore.contains(id)) {
+                co_await sleep(storeCallTimeout);
+                co_return ports::StoreReply { ports::StoreStatus::unknown, {} };
+            }
             auto reply = fakeStore.readAll();
             co_await sleep(storeLatency + responseDelay[id]);
             co_return reply;
@@ -142,10 +146,15 @@
                 co_return ports::StoreReply { ports::StoreStatus::refused, {} };
             }
             auto until = monotonicNow() + wait;
-            while (!isRefused(id) && fakeStore.revision <= after && monotonicNow() < until)
+            auto mustWait = [&] { return unansweredByStore.contains(id) || fakeStore.revision <= after; };
+            while (!isRefused(id) && mustWait() && monotonicNow() < until)
                 co_await sleep(2ms);
             if (isRefused(id))
                 co_return ports::StoreReply { ports::StoreStatus::refused, {} };
+            if (unansweredByStore.contains(id)) {
+                co_await sleep(watchSlack);
+                co_return ports::StoreReply { ports::StoreStatus::unknown, {} };
+            }
             auto reply = fakeStore.changesAfter(after);
             co_await sleep(storeLatency + responseDelay[id]);
             co_return reply;
@@ -165,8 +174,15 @@
             co_await sleep(wait + responseDelay[from]);
             co_return done(cannedUpdate);
         }
+        auto hasEnded = std::make_shared<bool>(false);
+        asio::co_spawn(context, expireRequest(wait + peerRequestSlack, hasEnded, done), asio::detached);
+        co_await sleep(transitTime[to]);
         auto& peer = *running.at(to);
         auto update = co_await peer.follower.changesForPeer(after, wait);
+        co_await sleep(transitTime[to]);
+        if (*hasEnded || silent.contains(to))
+            co_return;
+        *hasEnded = true;
         co_await sleep(responseDelay[from]);
         // A restart of either process breaks the connection.
         if (toStart != startCounts[to] || fromStart != startCounts[from])
@@ -174,6 +190,16 @@
         done(std::move(update));
     }
 
+    awaitable<void> expireRequest(
+        Duration timeout, std::shared_ptr<bool> hasEnded, std::function<void(std::optional<StoreUpdate>)> done)
+    {
+        co_await sleep(timeout);
+        if (*hasEnded)
+            co_return;
+        *hasEnded = true;
+        done(std::nullopt);
+    }
+
     awaitable<void> sleep(Duration time)
     {
         asio::steady_timer timer(context, time);
@@ -229,6 +255,11 @@
 
     static constexpr auto storeLatency = 2ms;
 
+    /// Timeouts of the adapter's calls to the store, and of RpcNode's requests to a peer beyond their wait.
+    static constexpr auto storeCallTimeout = 1500ms;
+    static constexpr auto watchSlack = 700ms;
+    static constexpr auto peerRequestSlack = 250ms;
+
     asio::io_context context;
     FakeStore fakeStore;
     std::map<InstanceId, MemberRecord> members;
@@ -238,7 +269,10 @@
     std::map<InstanceId, unsigned> calls; ///< Calls to the store.
     std::map<InstanceId, Duration> responseDelay; ///< How long responses wait until this instance handles them.
     std::set<InstanceId> refusedByStore; ///< Instances whose calls the store refuses.
+    std::set<InstanceId> unansweredByStore; ///< Instances whose calls the store does not answer.
     std::set<InstanceId> unreachable; ///< Instances that the other instances cannot reach.
+    std::set<InstanceId> silent; ///< Instances that do not answer their peers.
+    std::map<InstanceId, Duration> transitTime; ///< Time that requests to a peer and its responses take.
     std::optional<StoreUpdate> cannedUpdate; ///< Response of all peers, if set.
     unsigned callsToRefuse = 0;
     bool isStoreDown = false;
@@ -363,6 +397,68 @@
     }
 }
 
+namespace {
+
+/// A change has to be in force everywhere within this time.
+constexpr auto changeLimit = 2000ms;
+
+/// Returns how long a follower takes to learn of a change that its source misses: the store stops answering the source,
+/// which then stops answering its followers.
+/// @param phase moves the follower's requests relative to the source's watches
+Duration timeToLearn(Duration phase, Duration silentAfter)
+{
+    Cluster cluster(1, 3);
+    auto watcher = cluster.watcher();
+    auto follower = cluster.follower();
+    cluster.run(phase);
+    cluster.start(follower);
+    cluster.run(1000ms);
+    while (cluster.ageOf(watcher) > 15ms)
+        cluster.run(5ms);
+    cluster.unansweredByStore.insert(watcher);
+    auto changedAt = monotonicNow();
+    cluster.fakeStore.write("servers/a", "draining");
+    while (cluster.isInUse(follower, "a") && monotonicNow() - changedAt < 5s) {
+        if (monotonicNow() - changedAt >= silentAfter)
+            cluster.silent.insert(watcher);
+        cluster.run(5ms);
+    }
+    return monotonicNow() - changedAt;
+}
+
+} // namespace
+
+TEST_CASE("a follower learns of a change in time although its source loses the store and then falls silent")
+{
+    constexpr unsigned phases = 10;
+    const std::vector<Duration> silences { 1100ms, 1160ms, 1220ms };
+    std::vector<Duration> durations(phases * silences.size());
+    std::vector<std::thread> threads;
+    for (std::size_t n = 0; n < durations.size(); ++n) {
+        threads.emplace_back(
+            [&, n] { durations[n] = timeToLearn(50ms * static_cast<unsigned>(n % phases), silences[n / phases]); });
+    }
+    for (auto& it : threads)
+        it.join();
+    CHECK(*std::max_element(durations.begin(), durations.end()) < changeLimit);
+}
+
+TEST_CASE("while the store answers all instances, one of each failure domain watches it")
+{
+    Cluster cluster(1, 3);
+    auto watcher = cluster.watcher();
+    cluster.unansweredByStore.insert(watcher);
+    cluster.run(4s);
+    cluster.unansweredByStore.clear();
+    // The last watch that is not answered ends before this.
+    cluster.run(1500ms);
+    auto repairedAt = monotonicNow();
+    while (monotonicNow() - repairedAt < 7s) {
+        cluster.run(5ms);
+        REQUIRE_FALSE(cluster.watcher().empty());
+    }
+}
+
 TEST_CASE("a fresh response with an older revision than the mirror confirms the mirror")
 {
     Cluster cluster(1, 2);
--- a/tests/test_store_sources.cpp
+++ b/tests/test_store_sources.cpp
@@ -121,3 +121,19 @@
     sources.suspect("i1-0", now);
     CHECK(!sources.pick(now));
 }
+
+TEST_CASE("a peer of the same domain that follows another instance is used only by an instance without the store")
+{
+    auto sources = StoreSources::create({}, "i0-0", "d0");
+    sources.setPeers(fleet(2, 3));
+    auto now = TimePoint(1s);
+    StoreSources::Peer sameDomain { "i0-1", "d0", {} };
+    StoreSources::Peer otherDomain { "i1-1", "d1", {} };
+    CHECK(sources.isUsable(sameDomain, "", now));
+    CHECK_FALSE(sources.isUsable(sameDomain, "i0-2", now));
+    CHECK(sources.isUsable(otherDomain, "i1-2", now));
+    sources.suspect("i0-0", now);
+    CHECK(sources.isUsable(sameDomain, "i0-2", now));
+    CHECK_FALSE(sources.isUsable(sameDomain, "i0-0", now));
+    CHECK_FALSE(sources.isUsable(otherDomain, "i0-0", now));
+}
