A follower's requests end before its own mirror is too old

What callers could see: a route or service of an older version for up to 2 s after a change, behind an instance that had lost the store and then fell silent or slow.

Cause: limits that were chosen one by one and add up. A source with a mirror of 1.25 s was accepted by the age that it stated when it answered, however long the answer was in transit; the next request then lasted its full 0.75 s (and up to 0.5 s more for a new connection), whatever the age of the follower's own mirror.

Why it works: StoreFreshness, which knows the mirror's age, now says how long a request may wait; an answer is judged by its age when it is handled; the timeout of a request between instances includes connecting.

--- a/src/core/relay/store_freshness.cpp
+++ b/src/core/relay/store_freshness.cpp
@@ -42,4 +42,22 @@
     return Change::unavailable;
 }
 
+std::chrono::milliseconds StoreFreshness::waitWithin(Duration left) const
+{
+    auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    return std::clamp(wait, m_options.minWait, m_options.maxWait);
+}
+
+// A watch that returns changes at its end confirms the mirror only as of its start, so it must end before the mirror's
+// age exceeds what followers accept.
+std::chrono::milliseconds StoreFreshness::watchWait(TimePoint now) const
+{
+    return waitWithin(freshFor(now) - m_options.watchMargin);
+}
+
+std::chrono::milliseconds StoreFreshness::peerWait(TimePoint now) const
+{
+    return waitWithin(freshFor(now));
+}
+
 } // namespace acaciagauge
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -21,7 +21,7 @@
 
     constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
     constexpr auto controlTimeout = 2 * kj::SECONDS;
-    /// Added to the wait that a peer is asked for: a round trip and a busy machine.
+    /// Added to the wait that a peer is asked for: connecting, a round trip and a busy machine.
     constexpr auto changesSlack = 250 * kj::MILLISECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
@@ -323,35 +323,35 @@
         deliver(address, fill, std::move(done));
     }
 
+    // The timeout includes connecting: the caller relies on hearing of an unresponsive peer in time.
     void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
         std::function<void(std::optional<StoreUpdate>)> done)
     {
-        auto sent = connect(address).then([this, revision, wait, done](std::shared_ptr<Connection> connection) {
+        auto used = std::make_shared<std::shared_ptr<Connection>>();
+        auto answered = connect(address).then([revision, wait, used](std::shared_ptr<Connection> connection) {
+            *used = connection;
             auto call = connection->peer.changesSinceRequest();
             call.setRevision(revision);
             call.setWaitMillis(static_cast<std::uint32_t>(wait.count()));
-            return io->provider->getTimer()
-                .timeoutAfter(wait.count() * kj::MILLISECONDS + changesSlack, call.send())
-                .then(
-                    [done](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
-                        StoreUpdate news;
-                        news.delta = fromWire(results.getDelta());
-                        news.age = std::chrono::microseconds(results.getAgeMicros());
-                        news.held = std::chrono::microseconds(results.getHeldMicros());
-                        news.availableFor = std::chrono::microseconds(results.getSteadyMicros());
-                        news.source = results.getSource();
-                        done(std::move(news));
-                    },
-                    [this, connection, done](kj::Exception&&) {
-                        breakConnection(connection);
-                        done(std::nullopt);
-                    })
-                .attach(kj::cp(connection));
+            return call.send().then([](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
+                StoreUpdate news;
+                news.delta = fromWire(results.getDelta());
+                news.age = std::chrono::microseconds(results.getAgeMicros());
+                news.held = std::chrono::microseconds(results.getHeldMicros());
+                news.availableFor = std::chrono::microseconds(results.getSteadyMicros());
+                news.source = results.getSource();
+                return news;
+            });
         });
-        tasks->add(sent.catch_([this, address, done](kj::Exception&& exception) {
-            reachOf(address, exception);
-            done(std::nullopt);
-        }));
+        auto timed
+            = io->provider->getTimer().timeoutAfter(wait.count() * kj::MILLISECONDS + changesSlack, kj::mv(answered));
+        tasks->add(timed.then([done](StoreUpdate news) { done(std::move(news)); },
+            [this, address, used, done](kj::Exception&& exception) {
+                reachOf(address, exception);
+                if (*used)
+                    breakConnection(*used);
+                done(std::nullopt);
+            }));
     }
 
     Hooks hooks;
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -18,14 +18,6 @@
 
 namespace {
 
-    /// Longest wait of one watch, and of one request to a peer. It doubles as the
-    /// heartbeat by which a source that stopped responding is noticed.
-    constexpr auto maxWatchWait = std::chrono::milliseconds(500);
-
-    /// A peer whose mirror is older than this is not followed. Changes have to be in force within two seconds; the rest
-    /// of that time is for a call to the store.
-    constexpr auto maxPeerAge = std::chrono::milliseconds(1250);
-
     /// Wait between two watches, or two requests to a peer: batches changes, since each response costs a call, however
     /// few changes it carries.
     constexpr auto watchPause = std::chrono::milliseconds(80);
@@ -34,13 +26,6 @@
     constexpr auto initialBackoff = std::chrono::milliseconds(60);
     constexpr auto maxBackoff = std::chrono::milliseconds(600);
 
-    /// Part of `maxPeerAge` that must remain when a watch ends: for its response to arrive, and for followers that
-    /// request changes meanwhile.
-    constexpr auto peerAgeMargin = std::chrono::milliseconds(400);
-
-    /// Shortest wait of a watch: with a shorter one, watching would amount to polling, and each poll costs a call.
-    constexpr auto minWatchWait = std::chrono::milliseconds(100);
-
 } // namespace
 
 StoreFollower::StoreFollower(
@@ -63,7 +48,7 @@
 
 Duration StoreFollower::age() const
 {
-    return bootNow() - m_freshness.confirmedAt();
+    return m_freshness.age(bootNow());
 }
 
 // In ms; empty if the mirror was never confirmed.
@@ -78,14 +63,6 @@
     return m_freshness.confirmedAt() == TimePoint {} ? TimePoint {} : monotonicNow() - age();
 }
 
-// A watch that returns changes at its end confirms the mirror only as of its start, so it must end before the mirror's
-// age exceeds what followers accept.
-std::chrono::milliseconds StoreFollower::nextWatchWait() const
-{
-    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(maxPeerAge - peerAgeMargin - age());
-    return std::clamp(left, minWatchWait, maxWatchWait);
-}
-
 void StoreFollower::noteFailure(std::string_view call, StoreStatus status, TimePoint requestedAt)
 {
     logEvent(LogLevel::info, LogEvent::storeCallFailed,
@@ -192,7 +169,7 @@
     auto revision = m_catalog.mirror().revision();
     bool isDone = false;
     if (wasComplete)
-        isDone = co_await watch(nextWatchWait());
+        isDone = co_await watch(m_freshness.watchWait(bootNow()));
     else
         isDone = co_await reload();
     if (!isDone) {
@@ -222,9 +199,11 @@
     // Only changes are requested: a peer's history reaches further back than the store's, and a full mirror would be
     // large. The first request does not wait, and the present source stays until the peer has proved to be usable.
     auto requestedAt = bootNow();
-    auto wait = peer.id == m_source ? maxWatchWait : std::chrono::milliseconds(0);
+    auto wait = peer.id == m_source ? m_freshness.peerWait(requestedAt) : std::chrono::milliseconds(0);
     auto update = co_await requestChanges(peer.rpcAddress, m_catalog.mirror().revision(), wait);
-    bool isFresh = update && update->age <= maxPeerAge;
+    // The peer's mirror has grown older while its response was in transit.
+    auto validAt = update ? requestedAt + update->held - update->age : TimePoint {};
+    bool isFresh = update && m_freshness.isFresh(validAt, bootNow());
     bool isUsable = isFresh && m_sources.isUsable(peer, update->source, monotonicNow());
     bool hasChanges = false;
     if (update && update->delta.revision >= m_catalog.mirror().revision()) {
@@ -239,8 +218,7 @@
     }
     if (isFresh) {
         // Also if this mirror is ahead of the peer's: it was complete at least when the peer's was.
-        m_catalog.updateStoreAvailability(
-            m_freshness.confirmByPeer(requestedAt + update->held - update->age, bootNow() - update->availableFor));
+        m_catalog.updateStoreAvailability(m_freshness.confirmByPeer(validAt, bootNow() - update->availableFor));
     }
     if (isUsable) {
         setSource(peer.id);
@@ -304,7 +282,7 @@
     auto requestedAt = bootNow();
     // The wait ends when this instance's mirror becomes too old, so that the follower learns of it at once.
     auto until = std::chrono::steady_clock::time_point(
-        monotonicNow() + std::min<Duration>(wait, std::max(Duration::zero(), Duration(maxPeerAge) - age())));
+        monotonicNow() + std::min<Duration>(wait, m_freshness.freshFor(requestedAt)));
     bool isWatching = m_source == storeSourceName;
     auto mayWait
         = [&] { return m_catalog.mirror().revision() <= after && isWatching == (m_source == storeSourceName); };
@@ -316,7 +294,7 @@
     StoreUpdate update;
     update.delta = m_catalog.mirror().changesSince(after);
     auto now = bootNow();
-    update.age = now - m_freshness.confirmedAt();
+    update.age = m_freshness.age(now);
     update.held = now - requestedAt;
     update.availableFor = std::max(Duration::zero(), now - m_freshness.availableSince());
     update.source = m_source == storeSourceName ? InstanceId() : m_source;
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -51,7 +51,6 @@
     [[nodiscard]] Duration age() const;
     [[nodiscard]] std::string ageText() const;
     [[nodiscard]] TimePoint upToDateAt() const;
-    [[nodiscard]] std::chrono::milliseconds nextWatchWait() const;
     std::chrono::microseconds backoff();
 
     boost::asio::io_context& m_context;
--- a/tests/test_store_freshness.cpp
+++ b/tests/test_store_freshness.cpp
@@ -79,3 +79,21 @@
     freshness.noteFailure(start + 3s);
     CHECK(freshness.confirmByPeer(start + 5s, start + 2s) == Change::availableAfterOutage);
 }
+
+TEST_CASE("no wait for changes outlasts the time for which the mirror may be followed")
+{
+    StoreFreshness::Options options;
+    auto freshness = StoreFreshness::create(options);
+    TimePoint confirmedAt { 1h };
+    freshness.confirmByStore(confirmedAt);
+    for (auto age = 0ms; age <= 3000ms; age += 10ms) {
+        CAPTURE(age.count());
+        auto now = confirmedAt + age;
+        for (auto wait : { freshness.peerWait(now), freshness.watchWait(now) }) {
+            CHECK(wait >= options.minWait);
+            CHECK(wait <= options.maxWait);
+            CHECK((wait == options.minWait || age + wait <= options.maxAge));
+        }
+        CHECK(freshness.isFresh(confirmedAt, now) == (age <= options.maxAge));
+    }
+}
