A follower that lost its source reads the store if watches hear of nothing

What callers could see: an older version for up to 0.7 s longer after a source was lost.

Cause: the question that follows the loss of a source is a watch with the timeout of a watch (0.7 s beyond its wait). While the store compacts its history, watches hear of nothing for a second, reads do.

The new test fails with the former call and holds with the new one.

Why it works: a call of its own (poll, 0.2 s) for this question; if it brings nothing, the whole store is read. A refusal is not followed by a read.

--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -97,37 +97,62 @@
     co_return true;
 }
 
+StoreFollower::ChangesRequest StoreFollower::startRequest(std::string_view call, std::chrono::milliseconds wait) const
+{
+    return { call, m_catalog.mirror().revision(), wait, bootNow(), upToDateAt() };
+}
+
 awaitable<bool> StoreFollower::watch(std::chrono::milliseconds wait)
 {
-    auto changedAfter = upToDateAt();
-    auto requestedAt = bootNow();
-    auto after = m_catalog.mirror().revision();
-    auto reply = co_await m_store.watch(after, wait);
+    auto request = startRequest("watch", wait);
+    auto reply = co_await m_store.watch(request.after, wait);
+    co_return applyChanges(std::move(reply), request);
+}
+
+// Reads what this instance missed while its source failed. A watch may hear of nothing while the store compacts its
+// history, so the whole store is read if the changes do not arrive at once.
+awaitable<bool> StoreFollower::catchUp()
+{
+    if (m_isComplete) {
+        auto request = startRequest("poll", std::chrono::milliseconds(0));
+        auto reply = co_await m_store.poll(request.after);
+        bool isRefused = reply.status == StoreStatus::refused;
+        bool isDone = applyChanges(std::move(reply), request);
+        if (isDone || isRefused)
+            co_return isDone;
+    }
+    co_return co_await reload();
+}
+
+// Returns false if the response brought no changes and does not confirm the mirror either.
+bool StoreFollower::applyChanges(ports::StoreReply reply, const ChangesRequest& request)
+{
     // The whole store is watched, so every revision has a change. A response with a later revision but no change has
     // lost some, and is treated like a compacted history.
     bool hasSkippedChanges
-        = reply.status == StoreStatus::done && reply.delta.changes.empty() && reply.delta.revision > after;
+        = reply.status == StoreStatus::done && reply.delta.changes.empty() && reply.delta.revision > request.after;
     if (hasSkippedChanges) {
         logEvent(LogLevel::warn, LogEvent::storeCallFailed,
-            { { "call", "watch" }, { "status", "changes missing from the response" },
-                { "revision", std::to_string(after) }, { "to", std::to_string(reply.delta.revision) } });
+            { { "call", std::string(request.call) }, { "status", "changes missing from the response" },
+                { "revision", std::to_string(request.after) }, { "to", std::to_string(reply.delta.revision) } });
         reply.status = StoreStatus::compacted;
     }
     if (reply.status == StoreStatus::done) {
         // The store responds at once if there is a change, and after the wait if there is none.
-        bool waitExpired = reply.delta.changes.empty() && bootNow() - requestedAt >= wait;
-        m_catalog.updateStoreAvailability(m_freshness.confirmByStore(waitExpired ? requestedAt + wait : requestedAt));
-        m_catalog.apply(std::move(reply.delta), "watch", changedAfter);
-        co_return true;
+        bool waitExpired = reply.delta.changes.empty() && bootNow() - request.requestedAt >= request.wait;
+        auto validAt = waitExpired ? request.requestedAt + request.wait : request.requestedAt;
+        m_catalog.updateStoreAvailability(m_freshness.confirmByStore(validAt));
+        m_catalog.apply(std::move(reply.delta), request.call, request.changedAfter);
+        return true;
     }
     if (reply.status == StoreStatus::compacted)
         m_freshness.noteAnswer();
     else
-        noteFailure("watch", reply.status, requestedAt);
+        noteFailure(request.call, reply.status, request.requestedAt);
     // A gap in the history requires a read of the whole store. A watch without a response leaves no gap.
     bool isGap = reply.status == StoreStatus::compacted || reply.status == StoreStatus::malformed;
     m_isComplete = m_isComplete && !isGap;
-    co_return false;
+    return false;
 }
 
 void StoreFollower::setSource(std::string source)
@@ -234,9 +259,7 @@
         { { "peer", peer.id }, { "reason", reason },
             { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" }, { "ownAgeMs", ageText() } });
     // Missed changes are read from the store at once, since the next source may have failed too.
-    bool isCurrent = co_await watch(std::chrono::milliseconds(0));
-    if (!isCurrent && !m_isComplete)
-        isCurrent = co_await reload();
+    bool isCurrent = co_await catchUp();
     if (!isCurrent)
         co_await daemon::sleepFor(m_context, backoff());
 }
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -37,12 +37,24 @@
 private:
     static constexpr const char* storeSourceName = "store";
 
+    /// A request to the store for the changes after a revision.
+    struct ChangesRequest {
+        std::string_view call; ///< Its name, for the log.
+        Revision after = 0;
+        std::chrono::milliseconds wait { 0 };
+        TimePoint requestedAt; ///< Reading of bootNow().
+        TimePoint changedAfter; ///< Lower bound of the time of the changes, in the catalog's clock.
+    };
+
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> followStore();
     boost::asio::awaitable<void> followPeer(StoreSources::Peer peer);
     boost::asio::awaitable<void> resync(StoreSources::Peer peer, TimePoint changedAfter);
     boost::asio::awaitable<void> fetchFromSeed();
     boost::asio::awaitable<bool> watch(std::chrono::milliseconds wait);
+    boost::asio::awaitable<bool> catchUp();
+    bool applyChanges(ports::StoreReply reply, const ChangesRequest& request);
+    ChangesRequest startRequest(std::string_view call, std::chrono::milliseconds wait) const;
     boost::asio::awaitable<std::optional<StoreUpdate>> requestChanges(
         std::string address, Revision after, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> removeLapsedLoop();
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -71,6 +71,8 @@
 struct StorePort {
     std::function<awaitable<StoreReply>()> readAll;
     std::function<awaitable<StoreReply>(Revision after, std::chrono::milliseconds wait)> watch;
+    /// Returns the changes after a revision without waiting. Fails early, so that the store can be read instead.
+    std::function<awaitable<StoreReply>(Revision after)> poll;
     std::function<awaitable<StoreReply>(std::string key)> read;
     std::function<awaitable<StoreWriteReply>(StoreTransaction)> commit;
     std::function<awaitable<LeaseReply>(std::chrono::milliseconds duration)> createLease;
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -34,6 +34,15 @@
 
     void compact() { compactedUpTo = revision; }
 
+    /// Until endCompaction(), watches hear of no change; then they find that the history is gone.
+    void beginCompaction() { isCompacting = true; }
+
+    void endCompaction()
+    {
+        isCompacting = false;
+        compact();
+    }
+
     ports::StoreReply readAll() const
     {
         ports::StoreReply reply { ports::StoreStatus::done, { revision, true, {} } };
@@ -56,6 +65,7 @@
 
     Revision revision = 0;
     Revision compactedUpTo = 0;
+    bool isCompacting = false;
     std::map<std::string, StoreItem> items;
     std::vector<StoreChange> history;
 };
@@ -146,7 +156,9 @@
                 co_return ports::StoreReply { ports::StoreStatus::refused, {} };
             }
             auto until = monotonicNow() + wait;
-            auto mustWait = [&] { return unansweredByStore.contains(id) || fakeStore.revision <= after; };
+            auto mustWait = [&] {
+                return fakeStore.isCompacting || unansweredByStore.contains(id) || fakeStore.revision <= after;
+            };
             while (!isRefused(id) && mustWait() && monotonicNow() < until)
                 co_await sleep(2ms);
             if (isRefused(id))
@@ -155,10 +167,23 @@
                 co_await sleep(watchSlack);
                 co_return ports::StoreReply { ports::StoreStatus::unknown, {} };
             }
+            auto unansweredUntil = until + watchSlack;
+            while (fakeStore.isCompacting && monotonicNow() < unansweredUntil)
+                co_await sleep(2ms);
+            if (fakeStore.isCompacting)
+                co_return ports::StoreReply { ports::StoreStatus::unknown, {} };
             auto reply = fakeStore.changesAfter(after);
             co_await sleep(storeLatency + responseDelay[id]);
             co_return reply;
         };
+        store.poll = [this, id, watch = store.watch](Revision after) -> awaitable<ports::StoreReply> {
+            if (fakeStore.isCompacting || unansweredByStore.contains(id)) {
+                ++calls[id];
+                co_await sleep(pollTimeout);
+                co_return ports::StoreReply { ports::StoreStatus::unknown, {} };
+            }
+            co_return co_await watch(after, 0ms);
+        };
         return store;
     }
 
@@ -258,6 +283,7 @@
     /// Timeouts of the adapter's calls to the store, and of RpcNode's requests to a peer beyond their wait.
     static constexpr auto storeCallTimeout = 1500ms;
     static constexpr auto watchSlack = 700ms;
+    static constexpr auto pollTimeout = 200ms;
     static constexpr auto peerRequestSlack = 250ms;
 
     asio::io_context context;
@@ -443,6 +469,21 @@
     CHECK(*std::max_element(durations.begin(), durations.end()) < changeLimit);
 }
 
+TEST_CASE("a follower that loses its source reads the store although watches hear of nothing")
+{
+    Cluster cluster(1, 3);
+    auto watcher = cluster.watcher();
+    auto follower = cluster.follower();
+    cluster.run(300ms);
+    cluster.unansweredByStore.insert(watcher);
+    cluster.silent.insert(watcher);
+    cluster.run(700ms);
+    cluster.fakeStore.beginCompaction();
+    cluster.fakeStore.write("servers/a", "draining");
+    cluster.run(900ms);
+    CHECK_FALSE(cluster.isInUse(follower, "a"));
+}
+
 TEST_CASE("while the store answers all instances, one of each failure domain watches it")
 {
     Cluster cluster(1, 3);
--- a/tests/test_store_link.cpp
+++ b/tests/test_store_link.cpp
@@ -32,6 +32,7 @@
             }
             co_return reply;
         };
+        store.poll = [watch = store.watch](Revision after) { return watch(after, 0ms); };
         follower = std::make_unique<StoreFollower>(
             context, MemberRecord { "a", "domain", "127.0.0.1:1", 1 }, store, catalog, StoreFollower::Hooks {});
         follower->start();
