Servers' rate limits: one instance holds the permits of a server

Cause: the adapter did not know the header, and no part of the product bounded a rate over several instances; the concurrency limiter bounds what one instance has in flight.

Why it works: the adapter reads Server-Limit; Upstreams keeps the latest statement of each server, over its restarts, until an answer has none. What is not due within the wait that the latency target allows is refused with the time of the next permit.

--- a/include/acaciagauge/detail/admission/concurrency_limiter.hpp
+++ b/include/acaciagauge/detail/admission/concurrency_limiter.hpp
@@ -84,6 +84,9 @@
     /// @brief Returns the expected time to the response of a request that is offered now.
     [[nodiscard]] Duration expectedResponseTime(TimePoint now) const;
 
+    /// @brief Returns how long a request may wait before it is sent; later its response would be late.
+    [[nodiscard]] Duration waitLimit(const Work& work, TimePoint now) const;
+
     /// @brief Returns true if requests are in flight and the server has not completed any for too long.
     [[nodiscard]] bool isStuck(TimePoint now) const;
 
@@ -106,7 +109,6 @@
         TimePoint waitLimitEnd; ///< It is refused when it still waits at this time.
     };
 
-    [[nodiscard]] Duration waitLimit(const Work& work, TimePoint now) const;
     [[nodiscard]] bool mayKeepWaiting(const Waiting& waiting, TimePoint now) const;
     Duration recordServiceTime(const Completion& completion, TimePoint now);
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -153,6 +153,12 @@
   checksum @3 :UInt64;  # Of all items in the sender's mirror.
 }
 
+struct PermitRequest {
+  server @0 :Text;
+  perSecond @1 :Float64;  # Rate that the server takes from all instances together.
+  maxWaitMicros @2 :UInt64;
+}
+
 interface Peer {
   control @0 (message :ControlMessage) -> ();
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
@@ -166,4 +172,7 @@
   # empty if it watches the store.
   changesSince @5 (revision :UInt64, waitMillis :UInt32)
     -> (delta :StoreDelta, ageMicros :UInt64, heldMicros :UInt64, steadyMicros :UInt64, source :Text);
+  # Asks for the permission to send one request to a server that limits its rate. waitMicros says when to send it, or if
+  # it is not granted, when the next one could be sent.
+  permit @6 (request :PermitRequest) -> (isGranted :Bool, waitMicros :UInt64);
 }
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -70,6 +70,10 @@
             return "serverLeaving";
         case LogEvent::serverGone:
             return "serverGone";
+        case LogEvent::serverLimit:
+            return "serverLimit";
+        case LogEvent::permitUnanswered:
+            return "permitUnanswered";
         case LogEvent::storeRelayed:
             return "storeRelayed";
         case LogEvent::storeSource:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -32,6 +32,7 @@
     serverListed = 208,
     serverLeaving = 209,
     serverGone = 210,
+    serverLimit = 211,
     storeUnavailable = 301,
     storeAvailable = 302,
     storeRelayed = 303,
@@ -46,6 +47,7 @@
     requestRetried = 405,
     peerUnreachable = 501,
     rpcFailed = 502,
+    permitUnanswered = 503,
     linesDropped = 901,
 };
 
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -23,6 +23,8 @@
     constexpr auto controlTimeout = 2 * kj::SECONDS;
     /// Added to the wait that a peer is asked for: connecting, a round trip and a busy machine.
     constexpr auto changesSlack = 250 * kj::MILLISECONDS;
+    /// A request waits for its permit: a peer that takes longer than many round trips is not asked again for a while.
+    constexpr auto permitTimeout = 100 * kj::MILLISECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
     std::string textOf(const kj::Exception& exception)
@@ -113,6 +115,20 @@
             });
         }
 
+        kj::Promise<void> permit(PermitContext context) override
+        {
+            auto in = context.getParams().getRequest();
+            PermitRequest request { in.getServer(), in.getPerSecond(),
+                Duration(static_cast<Duration::rep>(in.getMaxWaitMicros())) };
+            auto answer = m_loop.awaitFromOutside<PermitReply>([&](std::function<void(PermitReply)> done) {
+                m_loop.hooks.onPermit(std::move(request), std::move(done));
+            });
+            return answer.then([context](PermitReply reply) mutable {
+                context.getResults().setIsGranted(reply.isGranted);
+                context.getResults().setWaitMicros(static_cast<std::uint64_t>(reply.wait.count()));
+            });
+        }
+
     private:
         Loop& m_loop;
     };
@@ -323,14 +339,33 @@
         deliver(address, fill, std::move(done));
     }
 
-    // The timeout includes connecting: the caller relies on hearing of an unresponsive peer in time.
-    void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
-        std::function<void(std::optional<StoreUpdate>)> done)
+    /// Sends a call and passes on its answer, or nothing if there is none within the timeout, which includes
+    /// connecting.
+    /// @param send sends the call by the peer's client and returns a promise of the answer
+    template <typename T, typename Send>
+    void request(
+        const std::string& address, kj::Duration timeout, Send send, std::function<void(std::optional<T>)> done)
     {
         auto used = std::make_shared<std::shared_ptr<Connection>>();
-        auto answered = connect(address).then([revision, wait, used](std::shared_ptr<Connection> connection) {
+        auto answered = connect(address).then([send, used](std::shared_ptr<Connection> connection) {
             *used = connection;
-            auto call = connection->peer.changesSinceRequest();
+            return send(connection->peer);
+        });
+        auto timed = io->provider->getTimer().timeoutAfter(timeout, kj::mv(answered));
+        tasks->add(timed.then([done](T answer) { done(std::move(answer)); },
+            [this, address, used, done](kj::Exception&& exception) {
+                reachOf(address, exception);
+                if (*used)
+                    breakConnection(*used);
+                done(std::nullopt);
+            }));
+    }
+
+    void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+        std::function<void(std::optional<StoreUpdate>)> done)
+    {
+        auto send = [revision, wait](wire::Peer::Client& peer) {
+            auto call = peer.changesSinceRequest();
             call.setRevision(revision);
             call.setWaitMillis(static_cast<std::uint32_t>(wait.count()));
             return call.send().then([](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
@@ -342,16 +377,24 @@
                 news.source = results.getSource();
                 return news;
             });
-        });
-        auto timed
-            = io->provider->getTimer().timeoutAfter(wait.count() * kj::MILLISECONDS + changesSlack, kj::mv(answered));
-        tasks->add(timed.then([done](StoreUpdate news) { done(std::move(news)); },
-            [this, address, used, done](kj::Exception&& exception) {
-                reachOf(address, exception);
-                if (*used)
-                    breakConnection(*used);
-                done(std::nullopt);
-            }));
+        };
+        request<StoreUpdate>(address, wait.count() * kj::MILLISECONDS + changesSlack, send, std::move(done));
+    }
+
+    void sendPermitRequest(
+        const std::string& address, const PermitRequest& permit, std::function<void(std::optional<PermitReply>)> done)
+    {
+        auto send = [permit](wire::Peer::Client& peer) {
+            auto call = peer.permitRequest();
+            auto out = call.initRequest();
+            out.setServer(permit.server);
+            out.setPerSecond(permit.perSecond);
+            out.setMaxWaitMicros(static_cast<std::uint64_t>(permit.maxWait.count()));
+            return call.send().then([](capnp::Response<wire::Peer::PermitResults>&& results) {
+                return PermitReply { results.getIsGranted(), std::chrono::microseconds(results.getWaitMicros()) };
+            });
+        };
+        request<PermitReply>(address, permitTimeout, send, std::move(done));
     }
 
     Hooks hooks;
@@ -441,4 +484,11 @@
     loop.post([&loop, address, revision, wait, done] { loop.sendChangesSince(address, revision, wait, done); });
 }
 
+void RpcNode::requestPermit(
+    const std::string& address, PermitRequest request, std::function<void(std::optional<PermitReply>)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, request = std::move(request), done] { loop.sendPermitRequest(address, request, done); });
+}
+
 } // namespace acaciagauge::daemon
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -21,6 +21,7 @@
         std::function<void(News)> onAnnounce;
         std::function<void(LoadReport)> onLoad;
         std::function<void(Revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)>)> onChangesSince;
+        std::function<void(PermitRequest, std::function<void(PermitReply)>)> onPermit;
     };
 
     /// @brief Starts the thread and listens.
@@ -52,6 +53,10 @@
     void changesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
         std::function<void(std::optional<StoreUpdate>)> done);
 
+    /// @brief Asks a peer for a permit; `done` is told nothing if the peer does not answer.
+    void requestPermit(
+        const std::string& address, PermitRequest request, std::function<void(std::optional<PermitReply>)> done);
+
 private:
     struct Loop;
     RpcNode();
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -63,6 +63,7 @@
     , m_membership(context, selfRecord(), m_ports.store)
     , m_controller(context, selfRecord(), m_ports.store, m_ports.orders, m_catalog, m_follower, keyAssignerOptions(),
           controllerHooks())
+    , m_permits(context, m_settings.instance, m_catalog, permitHooks())
     , m_forwarder(context, forwarderOptions(), m_ports.dialect, m_catalog, forwarderHooks())
 {
 }
@@ -98,9 +99,22 @@
     return hooks;
 }
 
+Permits::Hooks EntryNode::permitHooks()
+{
+    Permits::Hooks hooks;
+    hooks.request = [this](const std::string& address, PermitRequest request,
+                        std::function<void(std::optional<PermitReply>)> done) {
+        m_rpc->requestPermit(address, std::move(request), std::move(done));
+    };
+    return hooks;
+}
+
 RequestForwarder::Hooks EntryNode::forwarderHooks()
 {
     RequestForwarder::Hooks hooks;
+    hooks.acquirePermit = [this](PermitRequest request, DomainId domain) {
+        return m_permits.acquire(std::move(request), std::move(domain));
+    };
     hooks.countKey = [this](const ServiceName& service, KeyNumber key) { m_controller.countKey(service, key); };
     hooks.metrics = m_metrics.get();
     return hooks;
@@ -202,6 +216,9 @@
     hooks.onLoad = [this](LoadReport report) {
         asio::post(m_context, [this, report = std::move(report)] { m_controller.handleReport(report); });
     };
+    hooks.onPermit = [this](PermitRequest request, std::function<void(PermitReply)> done) {
+        asio::post(m_context, [this, request = std::move(request), done] { done(m_permits.answer(request)); });
+    };
     hooks.onChangesSince
         = [this](Revision revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)> done) {
               auto answer = [this, revision, wait, done]() -> awaitable<void> {
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "daemon/settings.hpp"
 #include "entry/controller_role.hpp"
 #include "entry/membership.hpp"
+#include "entry/permits.hpp"
 #include "entry/request_forwarder.hpp"
 
 namespace acaciagauge::entry {
@@ -45,6 +46,7 @@
     MemberRecord selfRecord() const;
     StoreFollower::Hooks followerHooks();
     ControllerRole::Hooks controllerHooks();
+    Permits::Hooks permitHooks();
     RequestForwarder::Hooks forwarderHooks();
     KeyAssigner::Options keyAssignerOptions() const;
     RequestForwarder::Options forwarderOptions() const;
@@ -58,6 +60,7 @@
     StoreFollower m_follower;
     Membership m_membership;
     ControllerRole m_controller;
+    Permits m_permits;
     RequestForwarder m_forwarder;
     std::shared_ptr<net::HttpServer> m_callerServer;
     std::shared_ptr<net::HttpServer> m_readinessServer;
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -289,6 +289,12 @@
         auto server = *found;
         pending.lastServer = server.entry.run.id;
         ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, pending.deadline };
+        auto retryAfter = co_await waitForPermit(pending, server, work);
+        if (retryAfter) {
+            if (pending.history.mayHaveRun > 0)
+                co_return respondUnknown(pending, false);
+            co_return respondNotRun(pending, *retryAfter);
+        }
         auto admitted = co_await m_upstreams.admit(server, work, pending.cancellation);
         if (!admitted) {
             pending.cause = "server " + server.entry.run.id + " has no capacity in time";
@@ -323,6 +329,26 @@
     }
 }
 
+// Returns nothing once the request may be sent; otherwise, when the server takes the next one.
+awaitable<std::optional<Duration>> RequestForwarder::waitForPermit(
+    PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work)
+{
+    auto id = server.entry.run.id;
+    auto perSecond = m_upstreams.rateLimit(id);
+    if (!perSecond)
+        co_return std::nullopt;
+    PermitRequest request { id, *perSecond, m_upstreams.waitLimit(server, work) };
+    auto reply = co_await m_hooks.acquirePermit(std::move(request), server.entry.domain);
+    m_upstreams.noteNextPermit(id, reply.wait);
+    if (!reply.isGranted) {
+        pending.cause = "server " + id + " takes " + std::to_string(*perSecond) + " requests per second";
+        co_return reply.wait;
+    }
+    if (reply.wait > Duration::zero())
+        co_await daemon::sleepFor(m_context, reply.wait);
+    co_return std::nullopt;
+}
+
 net::Request RequestForwarder::buildRequest(const PendingRequest& pending, const KnownServer& server) const
 {
     net::Request out;
@@ -413,6 +439,10 @@
     if (load)
         ended.reportedLoad = load->running + load->waiting;
     m_upstreams.complete(server.entry.run.id, workId, ended);
+    bool isStatement = isArrival(result.outcome) && result.outcome != SendOutcome::unknown && !result.isReplaced;
+    if (isStatement)
+        m_upstreams.noteRateLimit(
+            server.entry.run.id, m_dialect.parseRate(headerOf(result.response, m_dialect.rateLimit)));
     if (result.isReplaced)
         m_upstreams.noteReplaced(server.entry.run);
     bool isUnreachable = result.outcome == SendOutcome::notSent && !pending.cancellation->isCancelled();
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -18,6 +18,8 @@
 
     struct Hooks {
         std::function<void(const ServiceName&, KeyNumber)> countKey;
+        /// Asks for the permission to send a request to a server with a rate limit.
+        std::function<boost::asio::awaitable<PermitReply>(PermitRequest, DomainId)> acquirePermit;
         daemon::Metrics* metrics = nullptr;
     };
 
@@ -71,6 +73,8 @@
         PendingRequest& pending, const std::string& host, const std::string& path);
     boost::asio::awaitable<net::Response> forward(PendingRequest& pending);
     boost::asio::awaitable<const KnownServer*> findServer(PendingRequest& pending);
+    boost::asio::awaitable<std::optional<Duration>> waitForPermit(
+        PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
     const KnownServer* ownerOf(const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const;
     [[nodiscard]] bool isPastDrainWindow(const KnownServer& server) const;
     [[nodiscard]] bool mayBeSentTo(const ServerRun& run) const;
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -1,6 +1,7 @@
 #include "entry/upstreams.hpp"
 
 #include "daemon/async.hpp"
+#include "daemon/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +10,9 @@
 
 namespace asio = boost::asio;
 using asio::awaitable;
+using daemon::logEvent;
+using daemon::LogEvent;
+using daemon::LogLevel;
 
 namespace {
 
@@ -40,7 +44,7 @@
     ConcurrencyLimiter::Options options;
     options.slots = std::max(1U, server.entry.slots);
     return m_upstreams
-        .emplace(server.entry.run.id, Upstream { ConcurrencyLimiter::create(options), {}, 0, {}, false, {} })
+        .emplace(server.entry.run.id, Upstream { ConcurrencyLimiter::create(options), {}, 0, {}, false, {}, {}, {} })
         .first->second;
 }
 
@@ -70,6 +74,30 @@
     it->second.backoffUntil = monotonicNow() + backoff;
 }
 
+void Upstreams::noteRateLimit(const ServerId& server, std::optional<double> perSecond)
+{
+    auto it = m_upstreams.find(server);
+    if (it == m_upstreams.end() || it->second.rateLimit == perSecond)
+        return;
+    it->second.rateLimit = perSecond;
+    it->second.nextPermitAt = {};
+    logEvent(LogLevel::info, LogEvent::serverLimit,
+        { { "server", server }, { "perSecond", perSecond ? std::to_string(*perSecond) : "" } });
+}
+
+std::optional<double> Upstreams::rateLimit(const ServerId& server) const
+{
+    auto it = m_upstreams.find(server);
+    return it == m_upstreams.end() ? std::nullopt : it->second.rateLimit;
+}
+
+void Upstreams::noteNextPermit(const ServerId& server, Duration wait)
+{
+    auto it = m_upstreams.find(server);
+    if (it != m_upstreams.end())
+        it->second.nextPermitAt = monotonicNow() + wait;
+}
+
 Duration Upstreams::expectedTime(const ServerId& server) const
 {
     auto it = m_upstreams.find(server);
@@ -81,7 +109,8 @@
 {
     auto& upstream = upstreamOf(server);
     constexpr double stuckFactor = 100;
-    auto cost = static_cast<double>(upstream.limiter.expectedResponseTime(now).count());
+    auto permitWait = std::max(Duration::zero(), upstream.nextPermitAt - now);
+    auto cost = static_cast<double>((upstream.limiter.expectedResponseTime(now) + permitWait).count());
     if (upstream.limiter.isStuck(now))
         cost *= stuckFactor;
     // Among servers with free slots, those with less work are preferred.
@@ -176,6 +205,11 @@
     }
 }
 
+Duration Upstreams::waitLimit(const KnownServer& server, const ConcurrencyLimiter::Work& work)
+{
+    return upstreamOf(server).limiter.waitLimit(work, monotonicNow());
+}
+
 void Upstreams::complete(const ServerId& server, std::uint64_t workId, const ConcurrencyLimiter::Completion& ended)
 {
     auto it = m_upstreams.find(server);
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -22,9 +22,22 @@
     boost::asio::awaitable<std::optional<std::uint64_t>> admit(
         const KnownServer& server, ConcurrencyLimiter::Work work, std::shared_ptr<net::Cancellation> cancellation);
 
+    /// @brief Returns how long a request to the server may wait before it is sent.
+    [[nodiscard]] Duration waitLimit(const KnownServer& server, const ConcurrencyLimiter::Work& work);
+
     /// @brief Records how admitted work ended.
     void complete(const ServerId& server, std::uint64_t workId, const ConcurrencyLimiter::Completion& ended);
 
+    /// @brief Records the rate limit that a server's response states.
+    /// @param perSecond nothing if the response states none, which ends an earlier limit
+    void noteRateLimit(const ServerId& server, std::optional<double> perSecond);
+
+    /// @brief Returns the rate limit that the server's latest response stated; it outlasts a restart of the server.
+    [[nodiscard]] std::optional<double> rateLimit(const ServerId& server) const;
+
+    /// @brief Records when a server with a rate limit takes the next request.
+    void noteNextPermit(const ServerId& server, Duration wait);
+
     /// @brief Records that a server could not be reached.
     void noteUnreachable(const ServerId& server);
 
@@ -60,6 +73,8 @@
         TimePoint backoffUntil;
         bool isWakeLoopRunning = false;
         std::optional<ServerRun> replacedRun; ///< Run whose address has passed to another process.
+        std::optional<double> rateLimit; ///< Requests per second that the server takes from all instances together.
+        TimePoint nextPermitAt; ///< With a rate limit: when the next request can be sent, as last heard.
     };
 
     Upstream& upstreamOf(const KnownServer& server);
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -114,10 +114,12 @@
     std::string targetServer; ///< Server that the request is meant for; any other server rejects it.
     std::string serverId; ///< On a response: the server that sent it.
     std::string load; ///< On a response: the server's load, see parseLoad.
+    std::string rateLimit; ///< On a response: requests per second that the server takes from all instances together.
     std::string notExecuted; ///< Present on a response if the server did not execute the request.
     std::string keyNumber;
     std::string readinessPath; ///< Path of the health check by the load balancer in front of the instances.
     std::function<std::optional<ReportedLoad>(std::string_view)> parseLoad;
+    std::function<std::optional<double>(std::string_view)> parseRate;
 };
 
 } // namespace acaciagauge::ports
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -287,6 +287,9 @@
     std::int64_t startTimeMs = 0;
     bool isDraining = false;
     bool isSilent = false; ///< Accepts connections but responds to no request.
+    std::string rateLimit; ///< Named in all responses, but not enforced; empty: none.
+    bool namesLeaving = false; ///< Says in all responses that it is leaving, but goes on serving.
+    std::string retryAfter; ///< If set, all requests are refused with this time in seconds.
     unsigned running = 0;
     std::map<std::uint32_t, Hold> held; ///< By key. Expired entries stay; holds() checks the expiry.
     std::map<std::uint32_t, std::uint64_t> highestFences; ///< By key.
@@ -393,8 +396,9 @@
         if (path == "/faults")
             co_return setFaults(Json::parse(request.body()));
         if (path == "/record")
-            co_return jsonResponse(
-                200, { { "runs", m_runs }, { "problems", m_problems }, { "endedLeases", m_store.endedLeases() } });
+            co_return jsonResponse(200,
+                { { "runs", m_runs }, { "arrivals", m_arrivals }, { "problems", m_problems },
+                    { "endedLeases", m_store.endedLeases() } });
         if (m_faults.isStoreDown)
             co_return jsonResponse(503, Json::object());
         bool isWrite = path == "/-/kv-txn";
@@ -431,10 +435,21 @@
             server.startTimeMs += 1000;
             server.isDraining = false;
             server.isSilent = false;
+            server.rateLimit.clear();
+            server.namesLeaving = false;
+            server.retryAfter.clear();
             publishServer(server);
         }
         if (body.contains("silence"))
             m_servers.at(body["silence"].get<std::size_t>()).isSilent = true;
+        if (body.contains("limit"))
+            m_servers.at(body["limit"].at("server").get<std::size_t>()).rateLimit
+                = body["limit"].at("perSecond").get<std::string>();
+        if (body.contains("leaving"))
+            m_servers.at(body["leaving"].get<std::size_t>()).namesLeaving = true;
+        if (body.contains("retryAfter"))
+            m_servers.at(body["retryAfter"].at("server").get<std::size_t>()).retryAfter
+                = body["retryAfter"].at("seconds").get<std::string>();
         if (body.contains("garbage"))
             m_store.put("servers/odd", body["garbage"].get<std::string>());
         return jsonResponse(200, Json::object());
@@ -511,6 +526,10 @@
             response = co_await execute(server, std::move(request));
         }
         response.set("Acaciagauge-Instance-Id", server.id);
+        if (!server.rateLimit.empty())
+            response.set("Server-Limit", server.rateLimit);
+        if (server.namesLeaving)
+            response.set("Server-Leaving", "1");
         co_return response;
     }
 
@@ -518,9 +537,19 @@
     {
         auto id = headerOf(request, "Acaciagauge-Request-Id");
         auto key = static_cast<std::uint32_t>(std::stoul(headerOf(request, "Acaciagauge-Shard-Key")));
+        auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt);
+        m_arrivals.push_back({ { "id", id }, { "server", server.id }, { "atMs", sinceStart.count() } });
         if (!server.holds(key)) {
             auto response = jsonResponse(421, Json::object());
             response.set("Acaciagauge-Not-Executed", "1");
+            response.set("Acaciagauge-Request-Id", id);
+            co_return response;
+        }
+        if (!server.retryAfter.empty()) {
+            auto response = jsonResponse(503, Json::object());
+            response.set("Acaciagauge-Not-Executed", "1");
+            response.set("Acaciagauge-Request-Id", id);
+            response.set("Retry-After", server.retryAfter);
             co_return response;
         }
         m_runs.push_back({ { "id", id }, { "server", server.id }, { "target", std::string(request.target()) } });
@@ -545,7 +574,9 @@
     Faults m_faults;
     Clock::time_point m_downSince;
     std::mt19937 m_random { 1 };
+    Clock::time_point m_startedAt = Clock::now();
     Json m_runs = Json::array();
+    Json m_arrivals = Json::array(); ///< Requests that reached a server, whether or not it ran them.
     Json m_problems = Json::array(); ///< Keys that two servers held at the same time.
 };
 
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <set>
 #include <thread>
 
 using namespace acaciagauge;
@@ -39,6 +40,31 @@
     return options;
 }
 
+/// Returns the number of the server that executed a request.
+std::size_t serverOf(const Json& record, const std::string& requestId)
+{
+    for (const auto& it : record.at("runs")) {
+        if (it.at("id") == requestId)
+            return std::stoul(it.at("server").get<std::string>().substr(2));
+    }
+    FAIL("request " << requestId << " was not executed");
+    return 0;
+}
+
+/// Returns when requests reached a server, in ms since the platform started; only those of a daemon if `sentBy` is
+/// given, which holds the ids of the requests that the daemon got.
+std::vector<std::int64_t> arrivalsAt(
+    const Json& record, std::size_t server, const std::set<std::string>* sentBy = nullptr)
+{
+    std::vector<std::int64_t> arrivals;
+    for (const auto& it : record.at("arrivals")) {
+        bool isFromDaemon = !sentBy || sentBy->contains(it.at("id").get<std::string>());
+        if (it.at("server") == "i-" + std::to_string(server) && isFromDaemon)
+            arrivals.push_back(it.at("atMs").get<std::int64_t>());
+    }
+    return arrivals;
+}
+
 void checkNoViolations(const std::vector<CallerResult>& results, const Json& record)
 {
     CHECK(findViolations(results, record) == std::vector<std::string>());
@@ -165,3 +191,30 @@
     CHECK(cluster.processes().wait("d0") == 0);
     checkNoViolations(results, cluster.fetchRecord());
 }
+
+TEST_CASE("all daemons together keep to the rate limit that a server names")
+{
+    constexpr double perSecond = 5;
+    constexpr unsigned key = 5;
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    std::vector<CallerResult> results { cluster.sendRequest(0, false, key) };
+    REQUIRE(results.front().status == 200);
+    auto limited = serverOf(cluster.fetchRecord(), results.front().id);
+    cluster.setFaults({ { "limit", { { "server", limited }, { "perSecond", "5.0" } } } });
+    auto namedFrom = arrivalsAt(cluster.fetchRecord(), limited).back();
+    auto end = std::chrono::steady_clock::now() + 9s;
+    for (unsigned n = 0; std::chrono::steady_clock::now() < end; ++n)
+        results.push_back(cluster.sendRequest(n % daemons, n % 2 == 0, key));
+    auto record = cluster.fetchRecord();
+    auto arrivals = arrivalsAt(record, limited);
+    std::int64_t largest = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        if (*first >= namedFrom + 3000)
+            largest = std::max<std::int64_t>(
+                largest, std::count_if(first, arrivals.end(), [&](auto it) { return it <= *first + 4000; }));
+    }
+    CHECK(static_cast<double>(largest) <= 1.5 * perSecond * 4 + 5);
+    CHECK(static_cast<double>(arrivals.size()) > perSecond);
+    checkNoViolations(results, record);
+}
