Keys move off servers that limit their rate

Cause: the controller places keys by measured service times, which a limit does not change.

Why it works: load reports carry the limits that instances heard; the controller counts the capacity of a limited server as limit times mean service time, so that the existing plan for overloaded servers moves keys. A limit that nobody reports for 2 s ends.

--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -32,6 +32,7 @@
 struct LoadReport {
     std::map<ServiceName, KeyCounts> keys; ///< Requests by key, for services whose servers own keys.
     std::map<ServerId, ServiceTimes> times; ///< Only servers that responded.
+    std::map<ServerId, double> rateLimits; ///< Requests per second that servers named as their limit.
 };
 
 /// @name Events of a KeyAssigner
@@ -134,6 +135,7 @@
         std::size_t maxGrantsInFlight = 2; ///< For each server.
         std::size_t maxReleasesInFlight = 8; ///< For each server.
         KeyPlacement::Options placement;
+        Duration rateLimitLifetime = std::chrono::seconds(2); ///< A rate limit that is not reported again ends.
         Duration planInterval = std::chrono::milliseconds(300); ///< Interval of planning moves.
     };
 
@@ -182,6 +184,11 @@
         std::uint64_t writtenVersion = 0; ///< Version that the store has.
     };
 
+    struct RateLimit {
+        double perSecond = 0;
+        TimePoint reportedAt;
+    };
+
     struct SentOrder {
         ServiceName service;
         KeyNumber from = 0; ///< First key of the range.
@@ -222,6 +229,8 @@
     Range& splitOff(Service& service, Range& range, const KeyRange& part);
     OwnerChunk chunkContent(const ChunkId& id) const;
     KeyPlacement::Input placementInput(const ServiceName& name, const Service& service) const;
+    double capacityOf(const KnownServer& server, const Service& service) const;
+    void dropEndedRateLimits(TimePoint now);
     const KnownServer* readyServer(const ServerRun& run) const;
     bool maySendOrder(const ServerId& server, bool isRelease) const;
     void logDecision(const ServiceName& name, const Range& range, std::string what, std::string reason);
@@ -237,6 +246,7 @@
     TimePoint m_nextPlanAt;
     std::map<ServiceName, Service> m_services;
     std::map<ServerId, KnownServer> m_servers;
+    std::map<ServerId, RateLimit> m_rateLimits; ///< Of servers that limit their rate at present.
     std::map<ServiceName, TimePoint> m_lastJoinedAt; ///< When a service's newest server was first seen.
     std::map<ChunkId, Chunk> m_chunks;
     std::map<std::uint64_t, SentOrder> m_ordersInFlight;
--- a/include/acaciagauge/detail/planning/server_speeds.hpp
+++ b/include/acaciagauge/detail/planning/server_speeds.hpp
@@ -29,6 +29,9 @@
     /// @brief Adds the measurements of one instance.
     void add(const std::map<ServerId, ServiceTimes>& times, TimePoint now);
 
+    /// @brief Returns the mean service time of all servers; 0 if none was measured.
+    [[nodiscard]] Duration meanServiceTime() const;
+
     /// @brief Returns a server's speed relative to the mean of its service, which is 1.
     [[nodiscard]] double speed(const ServerId& server) const;
 
@@ -38,6 +41,8 @@
         double micros = 0;
     };
 
+    [[nodiscard]] Sum total() const;
+
     ServerSpeeds(Options options, TimePoint now)
         : m_options(options)
         , m_decayedAt(now)
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -134,9 +134,15 @@
   totalMicros @2 :UInt64;
 }
 
+struct RateLimit {
+  server @0 :Text;
+  perSecond @1 :Float64;
+}
+
 struct LoadReport {
   keys @0 :List(ServiceLoad);
   times @1 :List(ServerTimes);
+  rateLimits @2 :List(RateLimit);
 }
 
 struct StoreChange {
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -135,6 +135,7 @@
     }
     if (now >= m_nextPlanAt) {
         m_nextPlanAt = now + m_options.planInterval;
+        dropEndedRateLimits(now);
         for (auto& it : m_services) {
             if (!it.second.isDivided)
                 continue;
@@ -291,6 +292,8 @@
         if (service != m_services.end())
             service->second.load.add(it.second, now);
     }
+    for (const auto& it : event.report.rateLimits)
+        m_rateLimits[it.first] = { it.second, now };
     std::map<ServiceName, std::map<ServerId, ServiceTimes>> times;
     for (const auto& it : event.report.times) {
         auto server = m_servers.find(it.first);
@@ -340,7 +343,7 @@
             continue;
         KeyPlacement::Server server;
         server.id = it.first;
-        server.capacity = std::max(1U, it.second.entry.slots) * service.speeds.speed(it.first);
+        server.capacity = capacityOf(it.second, service);
         server.isUsable = it.second.status == ServerStatus::ready;
         server.isNew = !owners.contains(it.first);
         input.servers.push_back(server);
@@ -348,6 +351,24 @@
     return input;
 }
 
+// A server that limits its rate has as many slots' worth of capacity as its limit keeps busy.
+double KeyAssigner::capacityOf(const KnownServer& server, const Service& service) const
+{
+    constexpr double minCapacity = 0.05;
+    auto capacity = std::max(1U, server.entry.slots) * service.speeds.speed(server.entry.run.id);
+    auto limit = m_rateLimits.find(server.entry.run.id);
+    auto serviceTime = std::chrono::duration<double>(service.speeds.meanServiceTime()).count();
+    if (limit != m_rateLimits.end() && serviceTime > 0)
+        capacity = std::clamp(limit->second.perSecond * serviceTime, minCapacity, capacity);
+    return capacity;
+}
+
+void KeyAssigner::dropEndedRateLimits(TimePoint now)
+{
+    std::erase_if(
+        m_rateLimits, [&](const auto& it) { return now - it.second.reportedAt > m_options.rateLimitLifetime; });
+}
+
 // Splits a range so that `part` becomes a range of its own, and returns that one.
 KeyAssigner::Range& KeyAssigner::splitOff(Service& service, Range& range, const KeyRange& part)
 {
--- a/src/core/planning/server_speeds.cpp
+++ b/src/core/planning/server_speeds.cpp
@@ -28,16 +28,28 @@
     }
 }
 
+ServerSpeeds::Sum ServerSpeeds::total() const
+{
+    Sum all;
+    for (const auto& it : m_sums) {
+        all.requests += it.second.requests;
+        all.micros += it.second.micros;
+    }
+    return all;
+}
+
+Duration ServerSpeeds::meanServiceTime() const
+{
+    auto all = total();
+    return all.requests > 0 ? Duration(static_cast<Duration::rep>(all.micros / all.requests)) : Duration::zero();
+}
+
 double ServerSpeeds::speed(const ServerId& server) const
 {
     auto it = m_sums.find(server);
     if (it == m_sums.end())
         return 1;
-    Sum all;
-    for (const auto& sum : m_sums) {
-        all.requests += sum.second.requests;
-        all.micros += sum.second.micros;
-    }
+    auto all = total();
     auto mean = all.micros / all.requests;
     auto own = (it->second.micros + m_options.priorRequests * mean) / (it->second.requests + m_options.priorRequests);
     return std::clamp(mean / own, m_options.minSpeed, m_options.maxSpeed);
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -304,6 +304,12 @@
         times[n].setRequests(it.second.requests);
         times[n++].setTotalMicros(static_cast<std::uint64_t>(it.second.total.count()));
     }
+    auto limits = out.initRateLimits(static_cast<unsigned>(report.rateLimits.size()));
+    n = 0;
+    for (const auto& it : report.rateLimits) {
+        limits[n].setServer(it.first);
+        limits[n++].setPerSecond(it.second);
+    }
     auto loads = out.initKeys(static_cast<unsigned>(report.keys.size()));
     n = 0;
     for (const auto& it : report.keys) {
@@ -323,6 +329,8 @@
     LoadReport report;
     for (auto it : in.getTimes())
         report.times[it.getServer()] = { it.getRequests(), Duration(static_cast<Duration::rep>(it.getTotalMicros())) };
+    for (auto it : in.getRateLimits())
+        report.rateLimits[it.getServer()] = it.getPerSecond();
     for (auto it : in.getKeys()) {
         auto& counts = report.keys[it.getService()];
         for (auto count : it.getCounts()) {
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -397,8 +397,10 @@
 {
     while (!m_leaving) {
         co_await sleepFor(m_context, reportInterval);
-        LoadReport report { std::move(m_keyCounts), m_hooks.takeServiceTimes() };
+        LoadReport report;
+        report.keys = std::move(m_keyCounts);
         m_keyCounts.clear();
+        m_hooks.addServerReports(report);
         if (report.keys.empty() && report.times.empty())
             continue;
         if (m_actor) {
--- a/src/entry/controller_role.hpp
+++ b/src/entry/controller_role.hpp
@@ -30,7 +30,7 @@
 public:
     struct Hooks {
         std::function<daemon::RpcNode&()> rpc;
-        std::function<std::map<ServerId, ServiceTimes>()> takeServiceTimes;
+        std::function<void(LoadReport&)> addServerReports; ///< Adds what servers reported since the last call.
         daemon::Metrics* metrics = nullptr;
     };
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -94,7 +94,7 @@
 {
     ControllerRole::Hooks hooks;
     hooks.rpc = [this]() -> daemon::RpcNode& { return *m_rpc; };
-    hooks.takeServiceTimes = [this] { return m_forwarder.takeServiceTimes(); };
+    hooks.addServerReports = [this](LoadReport& report) { m_forwarder.addServerReports(report); };
     hooks.metrics = m_metrics.get();
     return hooks;
 }
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -34,8 +34,8 @@
 
     void setRetries(RetryShare::Options options) { m_retries.setOptions(options); }
 
-    /// @brief Returns the servers' service times since the last call.
-    std::map<ServerId, ServiceTimes> takeServiceTimes() { return m_upstreams.takeServiceTimes(); }
+    /// @brief Adds what servers reported and how fast they were since the last call.
+    void addServerReports(LoadReport& report) { m_upstreams.addServerReports(report); }
 
     /// @brief Drops the state of servers that are no longer listed.
     void prune() { m_upstreams.prune(); }
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -76,6 +76,8 @@
 
 void Upstreams::noteRateLimit(const ServerId& server, std::optional<double> perSecond)
 {
+    if (perSecond)
+        m_statedLimits[server] = *perSecond;
     auto it = m_upstreams.find(server);
     if (it == m_upstreams.end() || it->second.rateLimit == perSecond)
         return;
@@ -227,11 +229,10 @@
     wake(it->second);
 }
 
-std::map<ServerId, ServiceTimes> Upstreams::takeServiceTimes()
+void Upstreams::addServerReports(LoadReport& report)
 {
-    auto times = std::move(m_serviceTimes);
-    m_serviceTimes.clear();
-    return times;
+    report.times = std::exchange(m_serviceTimes, {});
+    report.rateLimits = std::exchange(m_statedLimits, {});
 }
 
 void Upstreams::prune()
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -50,8 +50,8 @@
     /// @brief Returns the expected time until the response to a request that is sent now.
     [[nodiscard]] Duration expectedTime(const ServerId& server) const;
 
-    /// @brief Returns the servers' service times since the last call.
-    std::map<ServerId, ServiceTimes> takeServiceTimes();
+    /// @brief Adds the servers' service times and rate limits since the last call.
+    void addServerReports(LoadReport& report);
 
     /// @brief Drops the state of servers that are no longer in the catalog.
     void prune();
@@ -87,6 +87,7 @@
     Catalog& m_catalog;
     std::map<ServerId, Upstream> m_upstreams;
     std::map<ServerId, ServiceTimes> m_serviceTimes;
+    std::map<ServerId, double> m_statedLimits; ///< Rate limits that responses stated since the last report.
     std::uint64_t m_lastWorkId = 0;
     std::mt19937_64 m_random { std::random_device {}() };
 };
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-    const ServiceName service = "auction";
     constexpr auto leaseDuration = 3s;
     constexpr auto tickInterval = 20ms;
     constexpr KeyNumber sampleStep = 911; // Puts sampled keys into every chunk.
 
 } // namespace
 
+const ServiceName KeyOwnershipSimulation::service = "auction";
+
 KeyOwnershipSimulation::KeyOwnershipSimulation(Options options)
     : m_options(options)
     , m_random(options.seed)
@@ -359,7 +360,12 @@
 {
     LoadReport report;
     report.keys[service][key] = requests;
-    sendEvent(KeyLoadReported { report });
+    reportLoad(std::move(report));
+}
+
+void KeyOwnershipSimulation::reportLoad(LoadReport report)
+{
+    sendEvent(KeyLoadReported { std::move(report) });
 }
 
 void KeyOwnershipSimulation::clearFaults()
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -46,6 +46,12 @@
     void setSlowOrderShare(double share) { m_slowOrderShare = share; } ///< Arrive up to 20 s after they were sent.
     void setLateWriteShare(double share) { m_lateWriteShare = share; } ///< Applied after their timeout.
     void reportLoad(KeyNumber key, unsigned requests);
+
+    /// @brief Reports load to the controller.
+    void reportLoad(LoadReport report);
+
+    /// @brief Name of the service whose servers own the keys.
+    static const ServiceName service;
     void clearFaults();
     /// @}
 
@@ -58,6 +64,9 @@
     [[nodiscard]] std::size_t servedKeyCount() const;
     [[nodiscard]] std::size_t sampledKeyCount() const { return m_sampledKeys.size(); }
 
+    /// @brief Returns the n-th key whose holders are checked.
+    [[nodiscard]] KeyNumber sampledKey(std::size_t n) const { return m_sampledKeys.at(n); }
+
     /// @brief Returns the owner of a key as recorded in the store.
     [[nodiscard]] std::optional<ServerId> recordedOwner(KeyNumber key) const;
 
--- a/tests/test_key_ownership.cpp
+++ b/tests/test_key_ownership.cpp
@@ -230,3 +230,40 @@
     CHECK(simulation.violation() == "");
     CHECK(simulation.servedKeyCount() == simulation.sampledKeyCount());
 }
+
+TEST_CASE("keys move off a server that limits its rate until the rest fits, and back when the limit ends")
+{
+    auto simulation = settledSimulation();
+    constexpr double perSecond = 1;
+    constexpr unsigned requestsPerReport = 6;
+    constexpr auto interval = 300ms;
+    std::mt19937 random(1);
+    std::uniform_int_distribution<std::size_t> anyKey(0, simulation.sampledKeyCount() - 1);
+    auto shareOfLimited = [&](Duration time, bool isLimited) {
+        std::size_t all = 0;
+        std::size_t limited = 0;
+        for (Duration passed { 0 }; passed < time; passed += interval) {
+            LoadReport report;
+            for (unsigned n = 0; n < requestsPerReport; ++n) {
+                auto key = simulation.sampledKey(anyKey(random));
+                ++report.keys[KeyOwnershipSimulation::service][key];
+                ++all;
+                limited += simulation.holder(key) == "s0";
+            }
+            for (std::size_t n = 0; n < simulation.serverCount(); ++n)
+                report.times["s" + std::to_string(n)] = { 1, 200ms };
+            if (isLimited)
+                report.rateLimits["s0"] = perSecond;
+            simulation.reportLoad(std::move(report));
+            simulation.run(interval);
+        }
+        return static_cast<double>(limited) / static_cast<double>(all);
+    };
+    shareOfLimited(10s, false);
+    shareOfLimited(20s, true);
+    auto offered = requestsPerReport / std::chrono::duration<double>(interval).count();
+    CHECK(shareOfLimited(20s, true) * offered <= 1.5 * perSecond);
+    shareOfLimited(30s, false);
+    CHECK(shareOfLimited(20s, false) * offered > 1.5 * perSecond);
+    CHECK(simulation.violation() == "");
+}
