A retry uses a connection that has not carried its request

Cause: answers are matched by the request's id, and all sends of a request have the same id. A server that refuses a request and writes the refusal once more when the retry arrives on the same kept connection makes the retry look refused; it is sent again while the server runs it.

It runs once now, and the caller gets the answer.

Why it works: each connection of HttpClient has a number; a request names those that carried it, and the pool does not offer them again. Connections stay open for other requests, whose ids differ.

--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -379,9 +379,11 @@
     // A non-idempotent request that was sent as a whole is not cancelled, even if the caller has disconnected.
     options.cancellation = pending.cancellation;
     options.uncancellableOnceSent = !pending.history.idempotent;
+    options.avoidedConnections = pending.connections;
     options.mayStillSend = [this, run = server.entry.run] { return mayBeSentTo(run); };
     auto request = buildRequest(pending, server);
     auto exchange = co_await m_client->exchange(server.entry.address, std::move(request), std::move(options));
+    pending.connections.insert(exchange.connection);
     auto result = classify(pending, std::move(exchange));
     if (isArrival(result.outcome))
         ++pending.history.arrivals;
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -56,6 +56,7 @@
         TimePoint deadline; ///< The caller does not wait for the response after this.
         SendHistory history;
         std::set<ServerId> tried;
+        std::set<std::uint64_t> connections; ///< That carried the request.
         ServerId lastServer;
         std::string cause; ///< Why the last send did not bring a response to relay.
     };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -77,13 +77,18 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(
-    const std::string& address, std::chrono::milliseconds idleTimeout)
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(const std::string& address, const ExchangeOptions& options)
 {
-    auto it = m_idle.find(address);
-    while (it != m_idle.end() && !it->second.empty()) {
-        auto connection = std::move(it->second.back());
-        it->second.pop_back();
+    auto idleTimeout = options.idleTimeout.count() > 0 ? options.idleTimeout : m_options.idleTimeout;
+    auto pool = m_idle.find(address);
+    if (pool == m_idle.end())
+        return nullptr;
+    auto& idle = pool->second;
+    for (auto n = idle.size(); n > 0; --n) {
+        if (options.avoidedConnections.contains(idle[n - 1]->id))
+            continue;
+        auto connection = std::move(idle[n - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(n - 1));
         --m_idleCount;
         if (isUsable(*connection, idleTimeout))
             return connection;
@@ -133,8 +138,7 @@
 asio::awaitable<std::unique_ptr<HttpClient::Connection>> HttpClient::connect(
     std::string address, ExchangeOptions options, Clock::time_point deadline, Exchange& outcome)
 {
-    auto idleTimeout = options.idleTimeout.count() > 0 ? options.idleTimeout : m_options.idleTimeout;
-    if (auto idle = takeIdle(address, idleTimeout))
+    if (auto idle = takeIdle(address, options))
         co_return idle;
     auto endpoint = parseEndpoint(address);
     if (!endpoint) {
@@ -142,6 +146,7 @@
         co_return nullptr;
     }
     auto connection = std::make_unique<Connection>(m_context);
+    connection->id = ++m_lastConnection;
     beast::error_code ec;
     if (options.connectTimeout.count() > 0)
         deadline = std::min(deadline, Clock::now() + options.connectTimeout);
@@ -253,6 +258,7 @@
     if (!connection)
         co_return outcome;
     outcome.wasReused = connection->wasUsed;
+    outcome.connection = connection->id;
     bool isAbandoned = (options.cancellation && options.cancellation->isCancelled())
         || (options.mayStillSend && !options.mayStillSend());
     if (isAbandoned) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace acaciagauge::net {
 
@@ -28,6 +29,7 @@
     Response response;
     std::string error;
     bool wasReused = false; ///< The connection had carried an earlier exchange.
+    std::uint64_t connection = 0; ///< Identifies the connection; 0 if there was none.
 };
 
 /// @brief HTTP/1.1 client with a pool of connections; each connection carries one exchange at a time.
@@ -58,6 +60,9 @@
         std::shared_ptr<Cancellation> cancellation; ///< Closes the connection when cancelled.
         bool uncancellableOnceSent = false; ///< Once fully written, the request is not cancelled.
         std::chrono::milliseconds idleTimeout { 0 }; ///< 0: as in the client's options.
+        /// Connections not to use: they carried the same request before, and a late copy of the response to it cannot
+        /// be told from the response to this one.
+        std::set<std::uint64_t> avoidedConnections;
     };
 
     static std::shared_ptr<HttpClient> create(asio::io_context& context, Options options);
@@ -82,6 +87,7 @@
             : stream(context)
         {
         }
+        std::uint64_t id = 0;
         beast::tcp_stream stream;
         beast::flat_buffer buffer { maxReadAheadBytes };
         bool wasUsed = false;
@@ -100,7 +106,7 @@
     asio::awaitable<beast::error_code> readResponse(
         Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome);
     void returnToPool(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
-    std::unique_ptr<Connection> takeIdle(const std::string& address, std::chrono::milliseconds idleTimeout);
+    std::unique_ptr<Connection> takeIdle(const std::string& address, const ExchangeOptions& options);
     bool isUsable(Connection& connection, std::chrono::milliseconds idleTimeout) const;
     static bool hasNoPendingData(Connection& connection);
     void closeExpired();
@@ -109,6 +115,7 @@
     Options m_options;
     std::map<std::string, std::deque<std::unique_ptr<Connection>>> m_idle;
     std::size_t m_idleCount = 0; ///< Connections in m_idle.
+    std::uint64_t m_lastConnection = 0; ///< Id of the newest connection.
 };
 
 } // namespace acaciagauge::net
--- /dev/null
+++ b/tests/test_request_forwarder.cpp
@@ -0,0 +1,209 @@
+/// @file
+/// @brief The forwarder of callers' requests against scripted servers on raw sockets.
+
+#include "entry/request_forwarder.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace acaciagauge;
+using namespace acaciagauge::entry;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto routeTimeout = 1500ms;
+
+/// A request as a server received it.
+struct Received {
+    unsigned connection = 0; ///< Number of the connection, from 0.
+    unsigned number = 0; ///< Number of the request on its connection, from 0.
+    std::string id;
+};
+
+std::string responseTo(const Received& request, const std::string& status, const std::string& headers = {})
+{
+    return "HTTP/1.1 " + status + "\r\nX-Id: " + request.id + "\r\n" + headers + "Content-Length: 2\r\n\r\nok";
+}
+
+std::string success(const Received& request, const std::string& headers = {})
+{
+    return responseTo(request, "200 OK", "X-Signature: s\r\n" + headers);
+}
+
+std::string refusal(const Received& request, const std::string& headers = {})
+{
+    return responseTo(request, "503 Service Unavailable", "X-Not-Executed: 1\r\n" + headers);
+}
+
+/// An instance's forwarder, and one server that answers by a script.
+struct Fixture {
+    /// Returns the bytes that the server writes.
+    using Script = std::function<std::string(const Received&)>;
+
+    explicit Fixture(Script answer)
+        : script(std::move(answer))
+    {
+        RequestForwarder::Hooks hooks;
+        hooks.countKey = [](const ServiceName&, KeyNumber) {};
+        hooks.acquirePermit = [this](PermitRequest request, DomainId) -> awaitable<PermitReply> {
+            permitRequests.push_back(request);
+            co_return PermitReply { true, 0ms };
+        };
+        hooks.metrics = metrics.get();
+        forwarder = std::make_unique<RequestForwarder>(
+            context, RequestForwarder::Options {}, dialect(), catalog, std::move(hooks));
+        listServer(1);
+        asio::co_spawn(context, acceptLoop(), asio::detached);
+    }
+
+    static ports::RequestDialect dialect()
+    {
+        ports::RequestDialect dialect;
+        dialect.requestId = "X-Id";
+        dialect.deadlineMs = "X-Deadline-Ms";
+        dialect.signature = "X-Signature";
+        dialect.targetServer = "X-Target";
+        dialect.serverId = "X-Server";
+        dialect.load = "X-Load";
+        dialect.rateLimit = "X-Limit";
+        dialect.notExecuted = "X-Not-Executed";
+        dialect.keyNumber = "X-Key";
+        dialect.parseLoad = [](std::string_view) { return std::optional<ports::ReportedLoad>(); };
+        dialect.parseRate = [](std::string_view text) {
+            return text.empty() ? std::optional<double>() : std::stod(std::string(text));
+        };
+        return dialect;
+    }
+
+    ports::DocumentsPort documents()
+    {
+        ports::DocumentsPort documents;
+        documents.configurationKey = "configuration";
+        documents.serversPrefix = "servers/";
+        documents.decodeDesiredState = [](std::string_view) -> Result<std::shared_ptr<const DesiredState>> {
+            RouteConfig safe;
+            safe.name = "safe";
+            safe.host = "a";
+            safe.prefix = "/safe/";
+            safe.idempotent = true;
+            safe.timeout = routeTimeout;
+            safe.targetLatency = 1000ms;
+            safe.maxAttempts = 2;
+            safe.services = { { "service", 1 } };
+            auto unsafe = safe;
+            unsafe.name = "unsafe";
+            unsafe.prefix = "/unsafe/";
+            unsafe.idempotent = false;
+            return DesiredState::create(1, { safe, unsafe }, { { "service", { "service", {}, 0, false, 0ms } } }, {});
+        };
+        documents.decodeServer = [this](const ServerId& id, std::string_view text) -> Result<ServerEntry> {
+            ServerEntry entry;
+            entry.run = { id, std::stoll(std::string(text)) };
+            entry.service = "service";
+            entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            entry.slots = 4;
+            return entry;
+        };
+        return documents;
+    }
+
+    /// Lists a run of the server in the store.
+    void listServer(int startedMs)
+    {
+        ++revision;
+        StoreDelta delta { revision, false, {}, std::nullopt };
+        delta.changes.push_back({ { "configuration", "1", revision }, false });
+        delta.changes.push_back({ { "servers/s", std::to_string(startedMs), revision }, false });
+        catalog.apply(std::move(delta), "watch", monotonicNow());
+    }
+
+    awaitable<void> acceptLoop()
+    {
+        for (unsigned n = 0; true; ++n) {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(context, serve(std::move(socket), n), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(tcp::socket socket, unsigned connection)
+    {
+        std::string buffer;
+        boost::system::error_code ec;
+        for (unsigned n = 0; true; ++n) {
+            auto length = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, ec));
+            if (ec)
+                co_return;
+            auto at = buffer.find("X-Id: ") + 6;
+            Received request { connection, n, buffer.substr(at, buffer.find("\r\n", at) - at) };
+            buffer.erase(0, length);
+            received.push_back(request);
+            auto bytes = script(request);
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+            if (closesAfterResponse)
+                co_return;
+        }
+    }
+
+    /// Forwards a request and returns the response to its caller.
+    net::Response forward(const std::string& path, const std::string& id)
+    {
+        net::Response response;
+        bool isDone = false;
+        auto run = [&]() -> awaitable<void> {
+            auto request = net::makeRequest(net::http::verb::get, path);
+            request.set(net::http::field::host, "a");
+            request.set("X-Id", id);
+            response = co_await forwarder->handle(std::move(request), net::Cancellation::create());
+            isDone = true;
+        };
+        asio::co_spawn(context, run, asio::detached);
+        for (int n = 0; n < 400 && !isDone; ++n)
+            context.run_for(10ms);
+        REQUIRE(isDone);
+        return response;
+    }
+
+    std::size_t arrivals(const std::string& id) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(received.begin(), received.end(), [&](const auto& it) { return it.id == id; }));
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor { context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    Script script;
+    bool closesAfterResponse = false;
+    std::vector<Received> received;
+    std::vector<PermitRequest> permitRequests;
+    Revision revision = 0;
+    Catalog catalog { context, documents() };
+    std::unique_ptr<daemon::Metrics> metrics = daemon::Metrics::create();
+    std::unique_ptr<RequestForwarder> forwarder;
+};
+
+} // namespace
+
+TEST_CASE("a refusal that a server repeats on a kept connection is not taken for the answer to the retry")
+{
+    auto path = GENERATE(as<std::string> {}, "/safe/1", "/unsafe/1");
+    std::size_t runs = 0;
+    Fixture fixture([&](const Received& request) {
+        if (request.connection == 0 && request.number == 0)
+            return refusal(request);
+        ++runs;
+        return request.connection == 0 ? refusal(request) : success(request);
+    });
+    auto response = fixture.forward(path, "1");
+    CHECK(response.result_int() == 200);
+    CHECK(runs == 1);
+}
