Own dialect: a connection that carried a refusal is not used again

A second copy of the refusal would pass for the answer to the retry.

The egress does not know the earlier tries, which may have come through another instance; so it closes a connection after any answer that does not say "ran". test_http_client has the case; not shown end to end in this dialect.

--- a/src/daemon/egress.cpp
+++ b/src/daemon/egress.cpp
@@ -145,8 +145,12 @@
         co_return replyWithout(
             request.requestId, Outcome::notRun, ResultCode::deadlineExceeded, "the deadline has passed");
     auto address = route.spec->address;
-    auto exchange
-        = co_await m_client->exchange(address, buildRequest(request, route, deadline, span.context), remaining);
+    net::HttpClient::ExchangeOptions options;
+    options.timeout = remaining;
+    // A late copy of a refusal could not be told from the response to the retry, which has the same id.
+    options.mayReuse = [](const net::Response& response) { return net::headerOf(response, "X-Outcome") == "ran"; };
+    auto exchange = co_await m_client->exchange(
+        address, buildRequest(request, route, deadline, span.context), std::move(options));
     if (exchange.state == net::ExchangeState::timedOut)
         cancelAtServer(address, request.requestId);
     auto reply = classify(request, address, std::move(exchange));
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -271,7 +271,9 @@
     co_await sendAndReceive(*connection, request, options, outcome);
     if (options.cancellation)
         options.cancellation->remove(callbackId);
-    if (outcome.state == ExchangeState::answered)
+    bool mayReuse
+        = outcome.state == ExchangeState::answered && (!options.mayReuse || options.mayReuse(outcome.response));
+    if (mayReuse)
         returnToPool(address, std::move(connection), outcome.response);
     co_return outcome;
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -60,6 +60,7 @@
         std::shared_ptr<Cancellation> cancellation; ///< Closes the connection when cancelled.
         bool uncancellableOnceSent = false; ///< Once fully written, the request is not cancelled.
         std::chrono::milliseconds idleTimeout { 0 }; ///< 0: as in the client's options.
+        std::function<bool(const Response&)> mayReuse; ///< If set, false closes the connection after this response.
         /// Connections not to use: they carried the same request before, and a late copy of the response to it cannot
         /// be told from the response to this one.
         std::set<std::uint64_t> avoidedConnections;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -261,3 +261,33 @@
     fixture.context.run_for(500ms);
     CHECK(exchange.state == (isSent ? ExchangeState::answered : ExchangeState::incomplete));
 }
+
+TEST_CASE("a connection is not used again after a response that the caller does not want to reuse it after")
+{
+    Fixture fixture;
+    std::size_t connections = 0;
+    fixture.serve([&](tcp::socket& socket) -> asio::awaitable<void> {
+        ++connections;
+        co_await readRequest(socket);
+        // The copy would answer a second request on this connection.
+        co_await write(socket, makeRawResponse("0", "refused"));
+        asio::steady_timer timer(fixture.context, 20ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    });
+    std::vector<Exchange> exchanges;
+    auto run = [&]() -> asio::awaitable<void> {
+        for (int n = 0; n < 2; ++n) {
+            HttpClient::ExchangeOptions options;
+            options.timeout = 2s;
+            options.mayReuse = [](const Response& response) { return response.body() != "refused"; };
+            auto address = "127.0.0.1:" + std::to_string(fixture.acceptor.local_endpoint().port());
+            auto request = makeRequest(http::verb::post, "/");
+            exchanges.push_back(co_await fixture.client->exchange(address, std::move(request), std::move(options)));
+        }
+    };
+    asio::co_spawn(fixture.context, run, asio::detached);
+    fixture.context.run_for(500ms);
+    REQUIRE(exchanges.size() == 2);
+    CHECK_FALSE(exchanges[1].wasReused);
+    CHECK(connections == 2);
+}
