Test: a response that ends within its head is no success, wherever it ends

Reported by other operators: a server stopped in the middle of an answer's head and closed; callers got a 200 with an empty body. It cannot happen here: the parser takes a head only with its empty line. The test cuts a response at each byte of its head, with the client that accepts responses without a length; the caller gets 502 and the request reaches the server once.

--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -207,3 +207,17 @@
     CHECK(response.result_int() == 200);
     CHECK(runs == 1);
 }
+
+TEST_CASE("a response that ends within its head is no success, wherever it ends")
+{
+    auto whole = responseTo({ 0, 0, "1" }, "200 OK", "X-Signature: s\r\n");
+    auto headLength = whole.find("\r\n\r\n") + 4;
+    for (std::size_t length = 1; length < headLength; ++length) {
+        CAPTURE(length);
+        Fixture fixture([&](const Received&) { return whole.substr(0, length); });
+        fixture.closesAfterResponse = true;
+        auto response = fixture.forward("/unsafe/1", "1");
+        CHECK(response.result_int() == 502);
+        CHECK(fixture.arrivals("1") == 1);
+    }
+}
