A request that could be cut at the end of a planned stop is refused instead

It could happen here: requests go on arriving on connections with a request in progress, or with a body that ends late.

Cause: an instance that shuts down took every request that it read, whatever was left of its time.

Evidence: test_platform_path "a request whose body ends late" failed with the former daemon: no answer, exit code 3 (requests interrupted), the request had reached a server. Now 503 at once, exit code 0, nothing reached a server.

The others get 503 with Retry-After 0: they did not run, and other instances serve them at once.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -308,6 +308,7 @@
     auto started = monotonicNow();
     auto end = started + m_settings.terminationGracePeriod - exitMargin;
     logEvent(LogLevel::info, LogEvent::leaving, { { "inFlight", std::to_string(m_forwarder.inFlight()) } });
+    m_forwarder.startShutdown({ started + balancerDetectionTime, end });
     m_callerServer->drain();
     asio::co_spawn(m_context, m_controller.leave(), asio::detached);
     asio::co_spawn(m_context, m_membership.leave(), asio::detached);
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -214,6 +214,10 @@
         pending.history.hasKey = true;
         m_hooks.countKey(pending.service, *pending.key);
     }
+    if (m_shutdown && !m_shutdown->mayTake(pending.deadline, pending.started)) {
+        pending.cause = "this instance is shutting down";
+        co_return respondNotRun(pending, Duration::zero());
+    }
     m_retries.countRequest(pending.service, pending.started);
     co_return co_await forward(pending);
 }
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -32,6 +32,9 @@
     /// @brief Returns how many requests are in progress.
     [[nodiscard]] std::size_t inFlight() const { return m_inFlight; }
 
+    /// @brief From now on, refuses requests that the schedule does not allow.
+    void startShutdown(const ShutdownSchedule& schedule) { m_shutdown = schedule; }
+
     void setRetries(RetryShare::Options options) { m_retries.setOptions(options); }
 
     /// @brief Adds what servers reported and how fast they were since the last call.
@@ -101,6 +104,7 @@
     std::shared_ptr<net::HttpClient> m_client;
     WeightedRoundRobin m_serviceSelector;
     RetryShare m_retries;
+    std::optional<ShutdownSchedule> m_shutdown;
     std::size_t m_inFlight = 0;
 };
 
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -31,6 +31,7 @@
     bool isStoreDown = false; ///< The store responds 503 to every call.
     double lostAnswers = 0; ///< Fraction of the store's writes that take effect but get their response 5 s late.
     double lostRuns = 0; ///< Fraction of executed requests whose response comes 10 s late.
+    std::chrono::milliseconds executionTime { 10 }; ///< Time that a server takes for a request.
     double lateGrants = 0; ///< Fraction of grants that take effect 2 s late and get their response another 2 s later.
 };
 
@@ -346,8 +347,6 @@
     }
 
 private:
-    static constexpr auto executionTime = std::chrono::milliseconds(10);
-
     std::string addressOf(unsigned n) const { return "127.0.0.1:" + std::to_string(m_basePort + n); }
 
     void publishServer(const KeyServer& server)
@@ -418,6 +417,7 @@
             m_store.postponeLeaseExpiry(Clock::now() - m_downSince);
         m_faults.lostAnswers = body.value("lostAnswers", m_faults.lostAnswers);
         m_faults.lostRuns = body.value("lostRuns", m_faults.lostRuns);
+        m_faults.executionTime = std::chrono::milliseconds(body.value("executionMs", m_faults.executionTime.count()));
         m_faults.lateGrants = body.value("lateGrants", m_faults.lateGrants);
         if (body.contains("configure"))
             publishDesiredState(body["configure"].get<unsigned>(), 1500);
@@ -554,7 +554,7 @@
         }
         m_runs.push_back({ { "id", id }, { "server", server.id }, { "target", std::string(request.target()) } });
         ++server.running;
-        co_await sleepFor(m_context, executionTime);
+        co_await sleepFor(m_context, m_faults.executionTime);
         --server.running;
         if (randomBool(m_faults.lostRuns))
             co_await sleepFor(m_context, std::chrono::seconds(10));
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -4,6 +4,8 @@
 
 #include "e2e/platform_cluster.hpp"
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <set>
@@ -218,3 +220,27 @@
     CHECK(static_cast<double>(arrivals.size()) > perSecond);
     checkNoViolations(results, record);
 }
+
+TEST_CASE("a request whose body ends late in the grace time of a daemon is answered, not cut")
+{
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    cluster.setFaults({ { "executionMs", 1400 } });
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect(net::parseEndpoint(cluster.callersAddress(0)).value());
+    std::string head = "POST /bid/ HTTP/1.1\r\nHost: a.example\r\nAcaciagauge-Request-Id: late\r\n"
+                       "Acaciagauge-Shard-Key: 5\r\nContent-Length: 4\r\n\r\nab";
+    boost::asio::write(caller, boost::asio::buffer(head));
+    cluster.processes().signal("d0", SIGTERM);
+    // The daemon ends 5.3 s after the signal; the server takes 1.4 s.
+    std::this_thread::sleep_for(4500ms);
+    boost::asio::write(caller, boost::asio::buffer(std::string("cd")));
+    std::string answer;
+    boost::system::error_code ec;
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(answer), "\r\n\r\n", ec);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(cluster.processes().wait("d0") == 0);
+    for (const auto& it : cluster.fetchRecord().at("arrivals"))
+        CHECK(it.at("id") != "late");
+}
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -221,3 +221,18 @@
         CHECK(fixture.arrivals("1") == 1);
     }
 }
+
+TEST_CASE("a request that arrives late in a shutdown and could be cut is refused, and does not reach a server")
+{
+    Fixture fixture([](const Received& request) { return success(request); });
+    auto now = monotonicNow();
+    fixture.forwarder->startShutdown({ now + 1s, now + routeTimeout - 500ms });
+    CHECK(fixture.forward("/unsafe/1", "early").result_int() == 200);
+    fixture.forwarder->startShutdown({ now, now + routeTimeout * 2 });
+    CHECK(fixture.forward("/unsafe/1", "answered in time").result_int() == 200);
+    fixture.forwarder->startShutdown({ now, now + routeTimeout - 500ms });
+    auto response = fixture.forward("/unsafe/1", "late");
+    CHECK(response.result_int() == 503);
+    CHECK(response.find(net::http::field::retry_after) != response.end());
+    CHECK(fixture.arrivals("late") == 0);
+}
