DRAIN: a server's leaving counts from the first response that says so

ServerDirectory keeps the statement for the run that made it: its entry may say "ready" for a while, or never anything else; a restart under the same id ends it. Load reports tell the controller, so that the keys of a server that says it only there move. The adapter knows the header's name. A request that was not sent because its server is leaving no longer counts as a failed connection.

--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -42,6 +42,7 @@
     TimePoint statusSince; ///< When this instance learned of the status.
     TimePoint leavingSince; ///< If it is not ready: the earliest time at which it may have begun to shut down.
     TimePoint listedAt; ///< When this instance first saw this run.
+    bool hasSaidLeaving = false; ///< This run said in a response that it is leaving.
 };
 
 /// @brief Servers of all services, from their entries in the store.
@@ -65,6 +66,10 @@
     /// @param changedAfter when the directory was last known to be up to date: the change is later
     void remove(const ServerId& id, TimePoint now, TimePoint changedAfter);
 
+    /// @brief Records that a server said that it is leaving, which its entry may say later or never.
+    /// @return true if the server was regarded as ready
+    bool noteLeaving(const ServerRun& run, TimePoint now);
+
     /// @brief Records that the store does not respond.
     void noteStoreUnavailable() { m_isStoreUnavailable = true; }
 
--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -32,6 +32,7 @@
 struct LoadReport {
     std::map<ServiceName, KeyCounts> keys; ///< Requests by key, for services whose servers own keys.
     std::map<ServerId, ServiceTimes> times; ///< Only servers that responded.
+    std::vector<ServerRun> leaving; ///< Servers that said that they are leaving, and whose entries do not say so.
     std::map<ServerId, double> rateLimits; ///< Requests per second that servers named as their limit.
 };
 
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -139,10 +139,16 @@
   perSecond @1 :Float64;
 }
 
+struct ServerRun {
+  server @0 :Text;
+  startedMs @1 :Int64;
+}
+
 struct LoadReport {
   keys @0 :List(ServiceLoad);
   times @1 :List(ServerTimes);
   rateLimits @2 :List(RateLimit);
+  leaving @3 :List(ServerRun);  # Servers that said that they are leaving, and whose entries do not say so.
 }
 
 struct StoreChange {
--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -18,14 +18,27 @@
         return;
     m_missing.erase(entry.run.id);
     auto& server = m_servers[entry.run.id];
-    auto status = entry.draining ? ServerStatus::draining : ServerStatus::ready;
-    if (isNewRun)
+    if (isNewRun) {
         server.listedAt = now;
+        server.hasSaidLeaving = false;
+    }
+    auto status = entry.draining || server.hasSaidLeaving ? ServerStatus::draining : ServerStatus::ready;
     if (isNewRun || server.status != status)
         setStatus(server, status, now, changedAfter);
     server.entry = entry;
 }
 
+bool ServerDirectory::noteLeaving(const ServerRun& run, TimePoint now)
+{
+    auto it = m_servers.find(run.id);
+    if (it == m_servers.end() || it->second.entry.run != run || it->second.status != ServerStatus::ready)
+        return false;
+    it->second.hasSaidLeaving = true;
+    m_missing.erase(run.id);
+    setStatus(it->second, ServerStatus::draining, now, now);
+    return true;
+}
+
 void ServerDirectory::setStatus(KnownServer& server, ServerStatus status, TimePoint now, TimePoint changedAfter)
 {
     // A draining server whose entry is removed has been leaving since it began to drain.
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -310,6 +310,12 @@
         limits[n].setServer(it.first);
         limits[n++].setPerSecond(it.second);
     }
+    auto leaving = out.initLeaving(static_cast<unsigned>(report.leaving.size()));
+    n = 0;
+    for (const auto& it : report.leaving) {
+        leaving[n].setServer(it.id);
+        leaving[n++].setStartedMs(it.startedMs);
+    }
     auto loads = out.initKeys(static_cast<unsigned>(report.keys.size()));
     n = 0;
     for (const auto& it : report.keys) {
@@ -329,6 +335,8 @@
     LoadReport report;
     for (auto it : in.getTimes())
         report.times[it.getServer()] = { it.getRequests(), Duration(static_cast<Duration::rep>(it.getTotalMicros())) };
+    for (auto it : in.getLeaving())
+        report.leaving.push_back({ it.getServer(), it.getStartedMs() });
     for (auto it : in.getRateLimits())
         report.rateLimits[it.getServer()] = it.getPerSecond();
     for (auto it : in.getKeys()) {
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -45,6 +45,18 @@
     m_changed.notifyAll();
 }
 
+void Catalog::noteLeaving(const ServerRun& run, std::string_view source)
+{
+    if (!m_servers.noteLeaving(run, monotonicNow()))
+        return;
+    const auto& entry = m_servers.find(run.id)->entry;
+    logEvent(LogLevel::info, LogEvent::serverLeaving,
+        { { "server", run.id }, { "service", entry.service }, { "domain", entry.domain },
+            { "started", std::to_string(run.startedMs) }, { "revision", std::to_string(m_mirror.revision()) },
+            { "source", std::string(source) }, { "ageMs", "0" } });
+    m_changed.notifyAll();
+}
+
 void Catalog::removeLapsedServers()
 {
     if (m_servers.expireEntries(monotonicNow()))
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -21,6 +21,10 @@
     /// @brief Updates whether the store is available.
     void updateStoreAvailability(StoreFreshness::Change change);
 
+    /// @brief Records that a server said that it is leaving.
+    /// @param source who heard it, for the log
+    void noteLeaving(const ServerRun& run, std::string_view source);
+
     /// @brief Removes servers whose entries vanished during a store outage and did not return in time.
     void removeLapsedServers();
 
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -393,6 +393,13 @@
         stepDown("the store names another controller");
 }
 
+void ControllerRole::handleReport(LoadReport report)
+{
+    for (const auto& it : report.leaving)
+        m_catalog.noteLeaving(it, "peer");
+    tell(KeyLoadReported { std::move(report) });
+}
+
 awaitable<void> ControllerRole::reportLoad()
 {
     while (!m_leaving) {
@@ -401,7 +408,11 @@
         report.keys = std::move(m_keyCounts);
         m_keyCounts.clear();
         m_hooks.addServerReports(report);
-        if (report.keys.empty() && report.times.empty())
+        for (const auto& it : m_catalog.servers().servers()) {
+            if (it.second.hasSaidLeaving && it.second.status == ServerStatus::draining && !it.second.entry.draining)
+                report.leaving.push_back(it.second.entry.run);
+        }
+        if (report.keys.empty() && report.times.empty() && report.leaving.empty())
             continue;
         if (m_actor) {
             handleReport(std::move(report));
--- a/src/entry/controller_role.hpp
+++ b/src/entry/controller_role.hpp
@@ -47,7 +47,7 @@
     void countKey(const ServiceName& service, KeyNumber key) { ++m_keyCounts[service][key]; }
 
     /// @brief Handles the load report of an instance.
-    void handleReport(LoadReport report) { tell(KeyLoadReported { std::move(report) }); }
+    void handleReport(LoadReport report);
 
     [[nodiscard]] bool isController() const { return m_actor != nullptr; }
 
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -451,13 +451,16 @@
             server.entry.run.id, m_dialect.parseRate(headerOf(result.response, m_dialect.rateLimit)));
     if (result.isReplaced)
         m_upstreams.noteReplaced(server.entry.run);
-    bool isUnreachable = result.outcome == SendOutcome::notSent && !pending.cancellation->isCancelled();
+    bool isUnreachable = result.outcome == SendOutcome::notSent && !pending.cancellation->isCancelled()
+        && mayBeSentTo(server.entry.run);
     if (isUnreachable)
         m_upstreams.noteUnreachable(server.entry.run.id);
 }
 
 net::Response RequestForwarder::relayResponse(PendingRequest& pending, net::Response response)
 {
+    if (isStatement && headerOf(result.response, m_dialect.leaving) == "1")
+        m_catalog.noteLeaving(server.entry.run, "server");
     net::Response out;
     out.version(11);
     out.result(response.result_int());
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -114,6 +114,7 @@
     std::string targetServer; ///< Server that the request is meant for; any other server rejects it.
     std::string serverId; ///< On a response: the server that sent it.
     std::string load; ///< On a response: the server's load, see parseLoad.
+    std::string leaving; ///< On a response: "1" if the server is leaving.
     std::string rateLimit; ///< On a response: requests per second that the server takes from all instances together.
     std::string notExecuted; ///< Present on a response if the server did not execute the request.
     std::string keyNumber;
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -112,3 +112,42 @@
     directory.update(entry, start + 9s, start + 8s);
     CHECK(directory.find("a")->leavingSince == start + 8s);
 }
+
+TEST_CASE("a server that says that it is leaving is draining from then on, whatever its entry says, until it restarts")
+{
+    auto directory = ServerDirectory::create({});
+    TimePoint start { 1h };
+    ServerEntry entry;
+    entry.run = { "a", 1 };
+    directory.update(entry, start, start);
+    CHECK(directory.noteLeaving(entry.run, start + 1s));
+    CHECK_FALSE(directory.noteLeaving(entry.run, start + 2s));
+    directory.update(entry, start + 3s, start + 3s);
+    CHECK(directory.find("a")->status == ServerStatus::draining);
+    entry.draining = true;
+    directory.update(entry, start + 4s, start + 4s);
+    CHECK(directory.find("a")->leavingSince == start + 1s);
+    directory.remove("a", start + 5s, start + 5s);
+    CHECK(directory.find("a")->leavingSince == start + 1s);
+    entry = {};
+    entry.run = { "a", 2 };
+    CHECK_FALSE(directory.noteLeaving(entry.run, start + 6s));
+    directory.update(entry, start + 6s, start + 6s);
+    CHECK(directory.find("a")->status == ServerStatus::ready);
+}
+
+TEST_CASE("an entry that lapses keeps no server in use that said that it is leaving")
+{
+    auto directory = ServerDirectory::create({});
+    TimePoint start { 1h };
+    ServerEntry entry;
+    entry.run = { "a", 1 };
+    directory.update(entry, start, start);
+    directory.noteStoreUnavailable();
+    directory.remove("a", start + 1s, start);
+    CHECK(directory.noteLeaving(entry.run, start + 2s));
+    directory.noteStoreAvailable(start + 3s, true);
+    directory.expireEntries(start + 10s);
+    CHECK(directory.find("a")->status == ServerStatus::draining);
+    CHECK(directory.find("a")->leavingSince == start + 2s);
+}
