BUDGET: a server that refuses with a time to retry gets no request before

ConcurrencyLimiter pauses for that long: nothing is sent, no probe of a server that looks stuck either, and requests that cannot wait are refused at once with the time that is left. Requests that were admitted before are checked again before their first byte. The pause is kept by the server's id, over a restart.

--- a/include/acaciagauge/detail/admission/concurrency_limiter.hpp
+++ b/include/acaciagauge/detail/admission/concurrency_limiter.hpp
@@ -53,6 +53,7 @@
         bool shed = false; ///< The server refused it for lack of capacity.
         Duration responseTime { 0 }; ///< From sending to the response.
         std::optional<unsigned> reportedLoad; ///< Requests running and waiting at the server, as it reports.
+        Duration retryAfter { 0 }; ///< Time for which the server wants no more requests from this instance.
     };
 
     /// @brief A request that dequeue() took out of the queue.
@@ -87,6 +88,9 @@
     /// @brief Returns how long a request may wait before it is sent; later its response would be late.
     [[nodiscard]] Duration waitLimit(const Work& work, TimePoint now) const;
 
+    /// @brief Returns true if the server said that it wants no requests from this instance now.
+    [[nodiscard]] bool isPaused(TimePoint now) const { return now < m_retryAfterEnd; }
+
     /// @brief Returns true if requests are in flight and the server has not completed any for too long.
     [[nodiscard]] bool isStuck(TimePoint now) const;
 
@@ -122,7 +126,8 @@
     double m_reportedOthers = 0; ///< Requests of other instances at m_reportedAt.
     double m_averageOthers = 0; ///< Moving average of m_reportedOthers.
     TimePoint m_reportedAt;
-    TimePoint m_pausedUntil;
+    TimePoint m_pausedUntil; ///< Includes the backoff after a shed request.
+    TimePoint m_retryAfterEnd; ///< Until then, the server wants no requests.
     TimePoint m_lastCompletion; ///< When the server last completed or refused a request.
     double m_serviceMicros = 0; ///< Moving average of the time that a request occupies a slot.
 };
--- a/src/core/admission/concurrency_limiter.cpp
+++ b/src/core/admission/concurrency_limiter.cpp
@@ -63,7 +63,7 @@
 
 ConcurrencyLimiter::Verdict ConcurrencyLimiter::offer(std::uint64_t id, const Work& work, TimePoint now)
 {
-    bool isProbe = isStuck(now) && m_inFlight.size() <= maxInFlightForProbe;
+    bool isProbe = isStuck(now) && !isPaused(now) && m_inFlight.size() <= maxInFlightForProbe;
     if (isProbe || (m_waiting.empty() && hasCapacity(now))) {
         m_inFlight[id] = now;
         return Verdict::send;
@@ -97,11 +97,15 @@
     }
     if (completion.shed) {
         m_window = std::max(1.0, m_window / 2);
-        m_pausedUntil = now + m_options.shedBackoff;
+        m_pausedUntil = std::max(m_pausedUntil, now + m_options.shedBackoff);
         // A server without capacity has at least as many requests as this instance would allow it.
         m_reportedOthers = std::max<double>(m_reportedOthers, m_options.slots + m_options.maxQueuedAtServer);
         m_reportedAt = now;
     }
+    if (completion.retryAfter > Duration::zero()) {
+        m_retryAfterEnd = std::max(m_retryAfterEnd, now + completion.retryAfter);
+        m_pausedUntil = std::max(m_pausedUntil, m_retryAfterEnd);
+    }
     if (completion.ran || completion.shed)
         m_lastCompletion = now;
     if (!completion.ran)
@@ -118,7 +122,8 @@
 
 bool ConcurrencyLimiter::mayKeepWaiting(const Waiting& waiting, TimePoint now) const
 {
-    return now < waiting.waitLimitEnd && now + serviceTime() / 2 <= waiting.work.deadline;
+    bool isPausedTooLong = m_pausedUntil >= waiting.waitLimitEnd;
+    return now < waiting.waitLimitEnd && !isPausedTooLong && now + serviceTime() / 2 <= waiting.work.deadline;
 }
 
 // Requests that can still meet their target go before those that will be late anyway; then by priority, then arrival.
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -45,6 +45,9 @@
     /// request is sent: a round trip between failure domains, and the time that a server takes to accept.
     constexpr auto firstUseDelay = std::chrono::milliseconds(5);
 
+    /// Upper bound of the time for which a server may ask for no requests.
+    constexpr auto maxServerPause = std::chrono::hours(1);
+
     /// Subtracted from the caller's deadline for the response's way back.
     constexpr auto responseMargin = std::chrono::milliseconds(25);
 
@@ -253,7 +256,7 @@
 bool RequestForwarder::mayBeSentTo(const ServerRun& run) const
 {
     const auto* server = m_catalog.servers().find(run.id);
-    return server && server->entry.run == run && !isPastDrainWindow(*server);
+    return server && server->entry.run == run && !isPastDrainWindow(*server) && !m_upstreams.isPaused(run.id);
 }
 
 // Returns null and sets pending.cause if no server becomes available in time.
@@ -433,6 +436,13 @@
     return result;
 }
 
+Duration RequestForwarder::parseRetryAfter(const net::Response& response) const
+{
+    auto seconds = m_dialect.parseDecimal(headerOf(response, m_dialect.retryAfter)).value_or(0);
+    auto limited = std::min(seconds, std::chrono::duration<double>(maxServerPause).count());
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(limited));
+}
+
 void RequestForwarder::recordSend(const PendingRequest& pending, const KnownServer& server, std::uint64_t workId,
     const SendResult& result, TimePoint sentAt)
 {
@@ -444,11 +454,15 @@
     auto load = m_dialect.parseLoad(headerOf(result.response, m_dialect.load));
     if (load)
         ended.reportedLoad = load->running + load->waiting;
+    if (result.response.result() == http::status::service_unavailable)
+        ended.retryAfter = parseRetryAfter(result.response);
     m_upstreams.complete(server.entry.run.id, workId, ended);
     bool isStatement = isArrival(result.outcome) && result.outcome != SendOutcome::unknown && !result.isReplaced;
+    if (isStatement && headerOf(result.response, m_dialect.leaving) == "1")
+        m_catalog.noteLeaving(server.entry.run, "server");
     if (isStatement)
         m_upstreams.noteRateLimit(
-            server.entry.run.id, m_dialect.parseRate(headerOf(result.response, m_dialect.rateLimit)));
+            server.entry.run.id, m_dialect.parseDecimal(headerOf(result.response, m_dialect.rateLimit)));
     if (result.isReplaced)
         m_upstreams.noteReplaced(server.entry.run);
     bool isUnreachable = result.outcome == SendOutcome::notSent && !pending.cancellation->isCancelled()
@@ -459,8 +473,6 @@
 
 net::Response RequestForwarder::relayResponse(PendingRequest& pending, net::Response response)
 {
-    if (isStatement && headerOf(result.response, m_dialect.leaving) == "1")
-        m_catalog.noteLeaving(server.entry.run, "server");
     net::Response out;
     out.version(11);
     out.result(response.result_int());
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -87,6 +87,7 @@
     SendResult classify(PendingRequest& pending, net::Exchange exchange) const;
     void recordSend(const PendingRequest& pending, const KnownServer& server, std::uint64_t workId,
         const SendResult& result, TimePoint sentAt);
+    [[nodiscard]] Duration parseRetryAfter(const net::Response& response) const;
     net::Response relayResponse(PendingRequest& pending, net::Response response);
     net::Response respondNotRun(PendingRequest& pending, Duration retryAfter);
     net::Response respondUnknown(PendingRequest& pending, bool timedOut);
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -100,6 +100,12 @@
         it->second.nextPermitAt = monotonicNow() + wait;
 }
 
+bool Upstreams::isPaused(const ServerId& server) const
+{
+    auto it = m_upstreams.find(server);
+    return it != m_upstreams.end() && it->second.limiter.isPaused(monotonicNow());
+}
+
 Duration Upstreams::expectedTime(const ServerId& server) const
 {
     auto it = m_upstreams.find(server);
@@ -238,7 +244,8 @@
 void Upstreams::prune()
 {
     std::erase_if(m_upstreams, [this](const auto& it) {
-        bool isBusy = it.second.limiter.inFlight() > 0 || !it.second.waiters.empty() || it.second.isWakeLoopRunning;
+        bool isBusy = it.second.limiter.inFlight() > 0 || it.second.limiter.isPaused(monotonicNow())
+            || !it.second.waiters.empty() || it.second.isWakeLoopRunning;
         return !isBusy && !m_catalog.servers().find(it.first);
     });
 }
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -38,6 +38,9 @@
     /// @brief Records when a server with a rate limit takes the next request.
     void noteNextPermit(const ServerId& server, Duration wait);
 
+    /// @brief Returns true if the server wants no requests from this instance at present.
+    [[nodiscard]] bool isPaused(const ServerId& server) const;
+
     /// @brief Records that a server could not be reached.
     void noteUnreachable(const ServerId& server);
 
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -116,11 +116,12 @@
     std::string load; ///< On a response: the server's load, see parseLoad.
     std::string leaving; ///< On a response: "1" if the server is leaving.
     std::string rateLimit; ///< On a response: requests per second that the server takes from all instances together.
+    std::string retryAfter; ///< On a refusal: seconds for which the server wants no requests from this instance.
     std::string notExecuted; ///< Present on a response if the server did not execute the request.
     std::string keyNumber;
     std::string readinessPath; ///< Path of the health check by the load balancer in front of the instances.
     std::function<std::optional<ReportedLoad>(std::string_view)> parseLoad;
-    std::function<std::optional<double>(std::string_view)> parseRate;
+    std::function<std::optional<double>(std::string_view)> parseDecimal; ///< A number that is not negative.
 };
 
 } // namespace acaciagauge::ports
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -244,3 +244,48 @@
     for (const auto& it : cluster.fetchRecord().at("arrivals"))
         CHECK(it.at("id") != "late");
 }
+
+TEST_CASE("a server that says that it is leaving gets no requests later than its drain time, and its keys move")
+{
+    constexpr unsigned key = 5;
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    std::vector<CallerResult> results { cluster.sendRequest(0, false, key) };
+    REQUIRE(results.front().status == 200);
+    auto leaving = serverOf(cluster.fetchRecord(), results.front().id);
+    cluster.setFaults({ { "leaving", leaving } });
+    auto saidFrom = arrivalsAt(cluster.fetchRecord(), leaving).back();
+    std::map<unsigned, std::set<std::string>> sentBy;
+    auto end = std::chrono::steady_clock::now() + 6s;
+    for (unsigned n = 0; std::chrono::steady_clock::now() < end; ++n) {
+        results.push_back(cluster.sendRequest(n % daemons, n % 2 == 0, key));
+        sentBy[n % daemons].insert(results.back().id);
+    }
+    auto record = cluster.fetchRecord();
+    for (const auto& it : sentBy) {
+        // The daemon's first request after `saidFrom` brought the first such answer.
+        auto arrivals = arrivalsAt(record, leaving, &it.second);
+        std::erase_if(arrivals, [&](auto at) { return at <= saidFrom; });
+        if (!arrivals.empty())
+            CHECK(arrivals.back() - arrivals.front() <= 2000);
+    }
+    CHECK(cluster.sendRequest(0, false, key).status == 200);
+    checkNoViolations(results, record);
+}
+
+TEST_CASE("a daemon sends no requests to a server that refused one until the time that the server named has passed")
+{
+    constexpr unsigned key = 5;
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    auto first = cluster.sendRequest(0, false, key);
+    REQUIRE(first.status == 200);
+    auto refusing = serverOf(cluster.fetchRecord(), first.id);
+    cluster.setFaults({ { "retryAfter", { { "server", refusing }, { "seconds", "3" } } } });
+    auto before = arrivalsAt(cluster.fetchRecord(), refusing).size();
+    auto end = std::chrono::steady_clock::now() + 2500ms;
+    for (unsigned n = 0; std::chrono::steady_clock::now() < end; ++n)
+        CHECK(cluster.sendRequest(n % daemons, false, key).status != 0);
+    // Each daemon's first request, and up to two on their way.
+    CHECK(arrivalsAt(cluster.fetchRecord(), refusing).size() <= before + daemons * 3);
+}
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -78,7 +78,9 @@
         dialect.notExecuted = "X-Not-Executed";
         dialect.keyNumber = "X-Key";
         dialect.parseLoad = [](std::string_view) { return std::optional<ports::ReportedLoad>(); };
-        dialect.parseRate = [](std::string_view text) {
+        dialect.leaving = "X-Leaving";
+        dialect.retryAfter = "Retry-After";
+        dialect.parseDecimal = [](std::string_view text) {
             return text.empty() ? std::optional<double>() : std::stod(std::string(text));
         };
         return dialect;
@@ -236,3 +238,49 @@
     CHECK(response.find(net::http::field::retry_after) != response.end());
     CHECK(fixture.arrivals("late") == 0);
 }
+
+TEST_CASE("a server that says in a response that it is leaving gets no request after the drain window")
+{
+    Fixture fixture([](const Received& request) { return success(request, "X-Leaving: 1\r\n"); });
+    CHECK(fixture.forward("/unsafe/1", "first").result_int() == 200);
+    fixture.listServer(1);
+    fixture.context.run_for(RequestForwarder::Options().drainWindow + 100ms);
+    CHECK(fixture.forward("/unsafe/1", "later").result_int() == 503);
+    CHECK(fixture.arrivals("later") == 0);
+    // Another run of the server is used again.
+    fixture.listServer(2);
+    CHECK(fixture.forward("/unsafe/1", "restarted").result_int() == 200);
+}
+
+TEST_CASE("a server that refuses with a time to retry gets no request before, not even after a restart")
+{
+    Fixture fixture([](const Received& request) {
+        return request.id == "first" ? refusal(request, "Retry-After: 1.5\r\n") : success(request);
+    });
+    CHECK(fixture.forward("/unsafe/1", "first").result_int() == 503);
+    fixture.listServer(2);
+    auto response = fixture.forward("/safe/1", "early");
+    CHECK(response.result_int() == 503);
+    CHECK(std::stod(std::string(response[net::http::field::retry_after])) > 1.0);
+    CHECK(fixture.arrivals("first") == 1);
+    CHECK(fixture.arrivals("early") == 0);
+    fixture.context.run_for(1600ms);
+    CHECK(fixture.forward("/safe/1", "in time").result_int() == 200);
+}
+
+TEST_CASE("a rate limit that a server names holds over its restart until an answer names none")
+{
+    Fixture fixture([](const Received& request) {
+        return request.id == "none" ? success(request) : success(request, "X-Limit: 2.5\r\n");
+    });
+    fixture.forward("/safe/1", "first");
+    CHECK(fixture.permitRequests.empty());
+    fixture.listServer(2);
+    fixture.forward("/safe/1", "second");
+    REQUIRE(fixture.permitRequests.size() == 1);
+    CHECK(fixture.permitRequests[0].perSecond == 2.5);
+    fixture.forward("/safe/1", "none");
+    CHECK(fixture.permitRequests.size() == 2);
+    fixture.forward("/safe/1", "last");
+    CHECK(fixture.permitRequests.size() == 2);
+}
--- a/tests/test_server_gate.cpp
+++ b/tests/test_server_gate.cpp
@@ -262,3 +262,31 @@
     INFO(result);
     CHECK(result.ran * 100 >= result.offered * 85);
 }
+
+TEST_CASE("a server that says when to retry gets no request before, and requests that cannot wait are refused at once")
+{
+    auto limiter = limiterOf(2, 2);
+    limiter.offer(1, work(1), start);
+    limiter.offer(2, work(1), start);
+    limiter.finished(1, { false, true, 5ms, 0, 3s }, start);
+    CHECK(limiter.isPaused(start + 2900ms));
+    CHECK(limiter.offer(3, work(1), start + 10ms) == ConcurrencyLimiter::Verdict::refuse);
+    CHECK(limiter.expectedResponseTime(start + 10ms) >= 2990ms);
+    // Not even a probe, although the request in flight makes the server look stuck.
+    CHECK(limiter.isStuck(start + 2s));
+    CHECK(limiter.offer(4, { 1, start + 5s, start + 9s }, start + 2s) != ConcurrencyLimiter::Verdict::send);
+    limiter.finished(2, { true, false, 100ms, 0 }, start + 2s);
+    CHECK_FALSE(limiter.isPaused(start + 3s));
+    CHECK(limiter.offer(5, { 1, start + 5s, start + 9s }, start + 3s) == ConcurrencyLimiter::Verdict::send);
+}
+
+TEST_CASE("requests that wait are refused at once when the server asks for a longer pause than they can wait")
+{
+    auto limiter = limiterOf(1, 0);
+    limiter.offer(1, work(1), start);
+    CHECK(limiter.offer(2, work(1), start) == ConcurrencyLimiter::Verdict::wait);
+    limiter.finished(1, { false, true, 5ms, 0, 5s }, start + 5ms);
+    auto dequeued = limiter.dequeue(start + 5ms);
+    REQUIRE(dequeued.size() == 1);
+    CHECK_FALSE(dequeued[0].isSent);
+}
