--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -6,7 +6,8 @@
 trap 'rm -rf "$SCRATCH"' EXIT
 git ls-files -co --exclude-standard | xargs -I{} cp --parents {} "$SCRATCH"
 cmake -S "$SCRATCH" -B "$SCRATCH/build" >/dev/null || exit 1
-make -C "$SCRATCH/build" -j"$(nproc)" test_homes test_key_ownership test_ownership test_requests test_tickets >/dev/null 2>&1 || exit 1
+make -C "$SCRATCH/build" -j"$(nproc)" test_homes test_key_ownership test_ownership test_rate_permits test_requests \
+    test_server_directory test_store_freshness test_store_sources test_tickets >/dev/null 2>&1 || exit 1
 status=0
 count=0
 
@@ -53,5 +54,10 @@
 mutant "forget an order without a response" test_key_ownership $keys 's/range.hasUnresolvedGrant = true;/range.hasUnresolvedGrant = false;/'
 mutant "renew under the old fence" test_key_ownership $keys '/outdates every late order/{n;s/assignNewFence(range);/static_cast<void>(0);/}'
 mutant "take over without the former controller's grants" test_key_ownership $keys 's/assigner.extendHeldUntil(range, .*/static_cast<void>(0);/'
+mutant "leave a rate limit out of a server's capacity" test_key_ownership $keys 's/if (limit != m_rateLimits.end() .*/if (limit == m_rateLimits.end() \&\& serviceTime < 0)/'
+mutant "save up all unused permits" test_rate_permits src/core/admission/rate_permits.cpp 's/auto due = std::max(nextDue, now - burst);/auto due = nextDue - 0 * burst;/'
+mutant "follow an instance that follows this one" test_store_sources src/core/relay/store_sources.cpp 's/return sourceOfPeer != m_self \&\& /return /'
+mutant "wait for a peer whatever the mirror's age" test_store_freshness src/core/relay/store_freshness.cpp 's/return waitWithin(freshFor(now));/return m_options.maxWait;/'
+mutant "believe the entry of a server that says it is leaving" test_server_directory src/core/membership/server_directory.cpp 's/entry.draining || server.hasSaidLeaving ?/entry.draining ?/'
 echo "$count mutants"
 exit $status
