A permit is awaited for 300 ms

Cause: an instance on a tenth of a core stands still for up to a tenth of a second when its processor time is used up, and answers a request for a permit after the 100 ms that were allowed. It is skipped for 5 s, by some instances and not by others, so several instances hold a server's permits.

--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -23,8 +23,9 @@
     constexpr auto controlTimeout = 2 * kj::SECONDS;
     /// Added to the wait that a peer is asked for: connecting, a round trip and a busy machine.
     constexpr auto changesSlack = 250 * kj::MILLISECONDS;
-    /// A request waits for its permit: a peer that takes longer than many round trips is not asked again for a while.
-    constexpr auto permitTimeout = 100 * kj::MILLISECONDS;
+    /// Longer than an instance stands still whose processor time for a tenth of a second is used up: a peer that does
+    /// not answer in time is not asked again for a while, and two instances then hold a server's permits.
+    constexpr auto permitTimeout = 300 * kj::MILLISECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
     std::string textOf(const kj::Exception& exception)
