--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -96,6 +96,15 @@
 
 using KeyAction = std::variant<SendKeyGrant, SendKeyRelease, WriteOwnerChunks, CheckAuthority, KeyDecision>;
 
+/// @brief How much work a KeyAssigner has.
+struct KeyWorkload {
+    std::map<std::string, std::size_t> rangesByState; ///< By the name of the state.
+    std::size_t ranges = 0; ///< Each of them is renewed by an order of its own.
+    std::uint64_t ordersSent = 0; ///< Since the start of the epoch.
+    std::size_t ordersInFlight = 0;
+    Duration longestOverdue { 0 }; ///< How long the most overdue order has been due.
+};
+
 /// @brief States of charts/range.chart.
 enum class RangeState {
     unowned,
@@ -151,8 +160,9 @@
     /// @brief Returns when the next tick has work.
     [[nodiscard]] TimePoint nextDue(TimePoint now) const;
 
-    /// @brief Returns how many ranges are in each state, by its name.
-    [[nodiscard]] std::map<std::string, std::size_t> countByState() const;
+    /// @brief Returns how much work there is.
+    /// @complexity O(ranges)
+    [[nodiscard]] KeyWorkload workload(TimePoint now) const;
 
 private:
     struct Range {
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -211,15 +211,23 @@
     return std::max(due, now + minSleep);
 }
 
-std::map<std::string, std::size_t> KeyAssigner::countByState() const
+KeyWorkload KeyAssigner::workload(TimePoint now) const
 {
-    std::map<std::string, std::size_t> counts;
+    KeyWorkload workload;
+    workload.ordersSent = m_lastOrderId;
+    workload.ordersInFlight = m_ordersInFlight.size();
     const auto& states = builtInChart("range").states();
     for (const auto& service : m_services) {
-        for (const auto& it : service.second.ranges)
-            ++counts[states.at(static_cast<std::size_t>(it.second.state))];
+        workload.ranges += service.second.ranges.size();
+        for (const auto& it : service.second.ranges) {
+            const auto& range = it.second;
+            ++workload.rangesByState[states.at(static_cast<std::size_t>(range.state))];
+            bool hasOrders = range.state != RangeState::unowned && range.state != RangeState::recording;
+            if (hasOrders && range.orderId == 0)
+                workload.longestOverdue = std::max(workload.longestOverdue, now - range.nextOrderAt);
+        }
     }
-    return counts;
+    return workload;
 }
 
 void KeyAssigner::onServers(const KeyServersChanged& event, TimePoint now)
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -60,6 +60,8 @@
             return "keyDecision";
         case LogEvent::loadUnreported:
             return "loadUnreported";
+        case LogEvent::controllerWorkload:
+            return "controllerWorkload";
         case LogEvent::desiredStateInForce:
             return "desiredStateInForce";
         case LogEvent::documentSkipped:
@@ -82,6 +84,8 @@
             return "storeSourceLost";
         case LogEvent::storeCopyDiffers:
             return "storeCopyDiffers";
+        case LogEvent::storeCallSlow:
+            return "storeCallSlow";
         case LogEvent::storeCallFailed:
             return "storeCallFailed";
         case LogEvent::requestDone:
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -39,6 +39,9 @@
     /// Timeout of a release: the server responds when its work on the keys has ended.
     constexpr auto releaseTimeout = std::chrono::milliseconds(4000);
 
+    /// Interval of the log lines on the controller's work.
+    constexpr auto workloadLogInterval = std::chrono::seconds(5);
+
     /// Interval of load reports to the controller.
     constexpr auto reportInterval = std::chrono::milliseconds(300);
 
@@ -220,12 +223,12 @@
     }
     auto assigner = KeyAssigner::create(m_options, m_epoch, m_catalog.keys(), monotonicNow());
     auto term = m_term;
-    auto hook = [this, term](std::vector<KeyAction> actions, std::map<std::string, std::size_t> counts) {
-        asio::post(m_context, [this, term, actions = std::move(actions), counts = std::move(counts)] {
+    auto hook = [this, term](std::vector<KeyAction> actions, std::optional<KeyWorkload> workload) {
+        asio::post(m_context, [this, term, actions = std::move(actions), workload = std::move(workload)] {
             if (term != m_term || !m_actor)
                 return;
-            for (const auto& it : counts)
-                m_hooks.metrics->setServers(it.first, it.second);
+            if (workload)
+                reportWorkload(*workload);
             for (const auto& it : actions)
                 perform(it);
         });
@@ -238,6 +241,20 @@
             { "chunks", std::to_string(m_chunkRevisions.size()) } });
 }
 
+void ControllerRole::reportWorkload(const KeyWorkload& workload)
+{
+    for (const auto& it : workload.rangesByState)
+        m_hooks.metrics->setServers(it.first, it.second);
+    if (monotonicNow() - m_workloadLoggedAt < workloadLogInterval)
+        return;
+    m_workloadLoggedAt = monotonicNow();
+    logEvent(LogLevel::info, LogEvent::controllerWorkload,
+        { { "epoch", std::to_string(m_epoch) }, { "ranges", std::to_string(workload.ranges) },
+            { "ordersSent", std::to_string(workload.ordersSent) },
+            { "ordersInFlight", std::to_string(workload.ordersInFlight) },
+            { "overdueMs", std::to_string(workload.longestOverdue.count() / 1000) } });
+}
+
 void ControllerRole::updateAssigner()
 {
     KeyServicesChanged services;
--- a/src/entry/controller_role.hpp
+++ b/src/entry/controller_role.hpp
@@ -67,6 +67,7 @@
     boost::asio::awaitable<void> checkAuthority();
     void startAssigner();
     void updateAssigner();
+    void reportWorkload(const KeyWorkload& workload);
     void perform(const KeyAction& action);
     void stepDown(const std::string& reason);
     void tell(KeyEvent event);
@@ -89,6 +90,7 @@
     Revision m_controllerRevision = 0;
     std::map<ChunkId, Revision> m_chunkRevisions;
     std::shared_ptr<KeyAssignerActor> m_actor;
+    TimePoint m_workloadLoggedAt;
     std::map<ServiceName, KeyCounts> m_keyCounts;
     AsyncCondition m_termEnded; ///< Notified when this instance steps down.
     bool m_leaving = false;
--- a/src/entry/key_assigner_actor.cpp
+++ b/src/entry/key_assigner_actor.cpp
@@ -17,12 +17,15 @@
 
 namespace {
 
+    constexpr auto workloadInterval = std::chrono::seconds(1);
+
     using TickAtom = caf::atom_constant<caf::atom("tick")>;
 
     struct KeyAssignerActorState {
         std::shared_ptr<KeyAssigner> assigner;
         KeyAssignerActor::Hook hook;
         TimePoint tickAt = TimePoint::max(); ///< Time of the earliest scheduled tick; max() if there is none.
+        TimePoint workloadAt; ///< When the workload was last passed to the hook.
     };
 
     using Self = caf::stateful_actor<KeyAssignerActorState>;
@@ -40,9 +43,16 @@
 
     void handle(Self* self, const KeyEvent& event)
     {
-        auto actions = self->state.assigner->handle(event, monotonicNow());
-        if (!actions.empty())
-            self->state.hook(std::move(actions), self->state.assigner->countByState());
+        auto now = monotonicNow();
+        auto actions = self->state.assigner->handle(event, now);
+        if (!actions.empty()) {
+            std::optional<KeyWorkload> workload;
+            if (now - self->state.workloadAt >= workloadInterval) {
+                workload = self->state.assigner->workload(now);
+                self->state.workloadAt = now;
+            }
+            self->state.hook(std::move(actions), std::move(workload));
+        }
         scheduleTick(self);
     }
 
--- a/src/entry/key_assigner_actor.hpp
+++ b/src/entry/key_assigner_actor.hpp
@@ -12,7 +12,8 @@
 /// Events are sent as messages; the hook receives the resulting actions on the actor's thread.
 class KeyAssignerActor {
 public:
-    using Hook = std::function<void(std::vector<KeyAction>, std::map<std::string, std::size_t> counts)>;
+    /// Receives actions to perform; with them, at most once a second, how much work there is.
+    using Hook = std::function<void(std::vector<KeyAction>, std::optional<KeyWorkload>)>;
 
     static std::unique_ptr<KeyAssignerActor> create(KeyAssigner assigner, Hook hook);
     ~KeyAssignerActor();
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -22,6 +22,9 @@
     /// few changes it carries.
     constexpr auto watchPause = std::chrono::milliseconds(80);
 
+    /// A call that takes longer than this, beyond the time that it asked to wait, is logged.
+    constexpr auto slowCall = std::chrono::milliseconds(500);
+
     /// Backoff after the first failed call, and its upper bound.
     constexpr auto initialBackoff = std::chrono::milliseconds(60);
     constexpr auto maxBackoff = std::chrono::milliseconds(600);
@@ -73,6 +76,16 @@
         m_sources.suspect(m_self.id, monotonicNow());
 }
 
+void StoreFollower::logIfSlow(const ChangesRequest& request, std::size_t changes) const
+{
+    auto duration = bootNow() - request.requestedAt;
+    if (duration <= request.wait + slowCall)
+        return;
+    logEvent(LogLevel::warn, LogEvent::storeCallSlow,
+        { { "call", std::string(request.call) }, { "ms", std::to_string(duration.count() / 1000) },
+            { "changes", std::to_string(changes) }, { "ageMs", ageText() } });
+}
+
 // Jitter keeps instances whose calls failed at the same time from retrying in step.
 std::chrono::microseconds StoreFollower::backoff()
 {
@@ -84,15 +97,15 @@
 
 awaitable<bool> StoreFollower::reload()
 {
-    auto changedAfter = upToDateAt();
-    auto requestedAt = bootNow();
+    auto request = startRequest("readAll", std::chrono::milliseconds(0));
     auto reply = co_await m_store.readAll();
     if (reply.status != StoreStatus::done) {
-        noteFailure("readAll", reply.status, requestedAt);
+        noteFailure(request.call, reply.status, request.requestedAt);
         co_return false;
     }
-    m_catalog.updateStoreAvailability(m_freshness.confirmByStore(requestedAt));
-    m_catalog.apply(std::move(reply.delta), "store", changedAfter);
+    logIfSlow(request, reply.delta.changes.size());
+    m_catalog.updateStoreAvailability(m_freshness.confirmByStore(request.requestedAt));
+    m_catalog.apply(std::move(reply.delta), "store", request.changedAfter);
     m_isComplete = true;
     co_return true;
 }
@@ -138,6 +151,7 @@
         reply.status = StoreStatus::compacted;
     }
     if (reply.status == StoreStatus::done) {
+        logIfSlow(request, reply.delta.changes.size());
         // The store responds at once if there is a change, and after the wait if there is none.
         bool waitExpired = reply.delta.changes.empty() && bootNow() - request.requestedAt >= request.wait;
         auto validAt = waitExpired ? request.requestedAt + request.wait : request.requestedAt;
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -58,6 +58,7 @@
     boost::asio::awaitable<std::optional<StoreUpdate>> requestChanges(
         std::string address, Revision after, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> removeLapsedLoop();
+    void logIfSlow(const ChangesRequest& request, std::size_t changes) const;
     void noteFailure(std::string_view call, ports::StoreStatus status, TimePoint requestedAt);
     void setSource(std::string source);
     [[nodiscard]] Duration age() const;
