HTTP client: a large response is read in few reads

Cause: a connection's read buffer held 512 bytes, so a watch of 400 kB took some 800 reads, and each read waits for one turn of the event loop. The longer it takes, the more changes the next watch has to carry.

A connection now reads up to 4 kB at once, one to the store up to 64 kB.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -26,6 +26,7 @@
     net::HttpClient::Options storeClient;
     storeClient.bodyLimit = net::maxAdminBodyBytes;
     storeClient.tcpUserTimeout = tcpUserTimeout;
+    storeClient.readBufferBytes = net::maxReadAheadBytes;
     auto store = net::HttpClient::create(context, storeClient);
     net::HttpClient::Options orderClient;
     orderClient.tcpUserTimeout = tcpUserTimeout;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -145,7 +145,7 @@
         outcome.error = endpoint.error().message;
         co_return nullptr;
     }
-    auto connection = std::make_unique<Connection>(m_context);
+    auto connection = std::make_unique<Connection>(m_context, m_options.readBufferBytes);
     connection->id = ++m_lastConnection;
     beast::error_code ec;
     if (options.connectTimeout.count() > 0)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -49,6 +49,7 @@
         std::chrono::milliseconds rejectionWindow {
             0
         }; ///< Wait before a new connection is used, in which the server may close it.
+        std::size_t readBufferBytes = 4096; ///< Most that one read of a connection takes.
         bool acceptCloseDelimited = false; ///< Accepts responses that end with an orderly close of the connection.
     };
 
@@ -84,9 +85,10 @@
     using Clock = std::chrono::steady_clock;
 
     struct Connection {
-        explicit Connection(asio::io_context& context)
+        Connection(asio::io_context& context, std::size_t readBufferBytes)
             : stream(context)
         {
+            buffer.reserve(readBufferBytes);
         }
         std::uint64_t id = 0;
         beast::tcp_stream stream;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace acaciagauge;
 using namespace acaciagauge::net;
@@ -99,8 +100,86 @@
     CHECK(sent < maxBodyBytes + 8 * 1024 * 1024);
 }
 
+/// Keeps an event loop busy: between two handlers of anything else, it runs one that takes some time.
+struct BusyLoop {
+    explicit BusyLoop(asio::io_context& context)
+        : context(context)
+    {
+        schedule();
+    }
+
+    void schedule()
+    {
+        asio::post(context, [this] {
+            std::this_thread::sleep_for(5ms);
+            if (!isStopped)
+                schedule();
+        });
+    }
+
+    asio::io_context& context;
+    bool isStopped = false;
+};
+
+/// Runs a scripted server in a thread of its own, so that a busy client does not slow it down.
+struct ServerThread {
+    explicit ServerThread(Fixture::Script script)
+    {
+        server.serve(std::move(script));
+        thread = std::thread([this] { server.context.run_for(10s); });
+    }
+
+    ~ServerThread()
+    {
+        server.context.stop();
+        thread.join();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()); }
+
+    Fixture server;
+    std::thread thread;
+};
+
+/// Sends one request on a busy loop and returns its exchange and how long it took.
+std::pair<Exchange, std::chrono::milliseconds> exchangeOnBusyLoop(
+    Fixture::Script script, HttpClient::Options clientOptions, std::chrono::milliseconds timeout)
+{
+    ServerThread server(std::move(script));
+    asio::io_context context;
+    auto client = HttpClient::create(context, clientOptions);
+    BusyLoop busy(context);
+    Exchange exchange;
+    auto started = std::chrono::steady_clock::now();
+    auto run = [&]() -> asio::awaitable<void> {
+        exchange = co_await client->exchange(server.address(), makeRequest(http::verb::get, "/"), timeout);
+        busy.isStopped = true;
+    };
+    asio::co_spawn(context, run, asio::detached);
+    context.run_for(15s);
+    auto duration = std::chrono::steady_clock::now() - started;
+    return { std::move(exchange), std::chrono::duration_cast<std::chrono::milliseconds>(duration) };
+}
+
 } // namespace
 
+TEST_CASE("a large response is read in a few turns of a busy event loop")
+{
+    std::string body(400 * 1024, 'x');
+    auto script = [&](tcp::socket& socket) -> asio::awaitable<void> {
+        co_await readRequest(socket);
+        co_await write(socket, makeRawResponse("", body));
+    };
+    HttpClient::Options options;
+    options.bodyLimit = maxAdminBodyBytes;
+    options.readBufferBytes = 64 * 1024;
+    auto [exchange, duration] = exchangeOnBusyLoop(script, options, 8s);
+    CHECK(exchange.state == ExchangeState::answered);
+    CHECK(exchange.response.body().size() == body.size());
+    // The store's watch has to succeed within 1.2 s.
+    CHECK(duration < 1200ms);
+}
+
 TEST_CASE("data of a request that timed out is discarded, not delivered later")
 {
     Fixture fixture;
