HTTP client: an exchange ends at its timeout although data keeps arriving

Cause: Beast's stream timeout races with each read. A read that finds data completes first and cancels the timer, even when the timer has expired long ago. The client now checks the deadline between reads. A response that is complete is still delivered, also late.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -183,16 +183,22 @@
     co_return hasNoPendingData(connection);
 }
 
-asio::awaitable<beast::error_code> HttpClient::readResponse(
-    Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome)
+asio::awaitable<beast::error_code> HttpClient::readResponse(Connection& connection, const std::string& idHeader,
+    const std::string& id, Clock::time_point deadline, Exchange& outcome)
 {
     beast::error_code ec;
     for (int strays = 0; strays <= maxStrayResponses; ++strays) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(maxHeaderBytes);
         parser.body_limit(m_options.bodyLimit);
-        co_await http::async_read(
-            connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        parser.eager(true);
+        // The stream's own timeout ends only a read that finds no data.
+        while (!ec && !parser.is_done()) {
+            co_await http::async_read_some(
+                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && !parser.is_done() && Clock::now() >= deadline)
+                ec = beast::error::timeout;
+        }
         if (ec)
             co_return ec;
         // A response without a length ends only with an orderly close of the connection; a reset is an error above.
@@ -210,8 +216,8 @@
     co_return make_error_code(http::error::unexpected_body);
 }
 
-asio::awaitable<void> HttpClient::sendAndReceive(
-    Connection& connection, Request& request, const ExchangeOptions& options, Exchange& outcome)
+asio::awaitable<void> HttpClient::sendAndReceive(Connection& connection, Request& request,
+    const ExchangeOptions& options, Clock::time_point deadline, Exchange& outcome)
 {
     beast::error_code ec;
     auto written
@@ -220,7 +226,7 @@
     connection.isRequestSent = !ec;
     auto id = options.idHeader.empty() ? std::string() : headerOf(request, options.idHeader);
     if (!ec)
-        ec = co_await readResponse(connection, options.idHeader, id, outcome);
+        ec = co_await readResponse(connection, options.idHeader, id, deadline, outcome);
     if (!ec) {
         outcome.state = ExchangeState::answered;
         co_return;
@@ -268,7 +274,7 @@
     connection->isRequestSent = false;
     auto callbackId = closeOnCancellation(*connection, options);
     connection->stream.expires_at(deadline);
-    co_await sendAndReceive(*connection, request, options, outcome);
+    co_await sendAndReceive(*connection, request, options, deadline, outcome);
     if (options.cancellation)
         options.cancellation->remove(callbackId);
     bool mayReuse
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -103,11 +103,11 @@
     asio::awaitable<std::unique_ptr<Connection>> connect(
         std::string address, ExchangeOptions options, Clock::time_point deadline, Exchange& outcome);
     asio::awaitable<bool> remainsOpen(Connection& connection);
-    asio::awaitable<void> sendAndReceive(
-        Connection& connection, Request& request, const ExchangeOptions& options, Exchange& outcome);
+    asio::awaitable<void> sendAndReceive(Connection& connection, Request& request, const ExchangeOptions& options,
+        Clock::time_point deadline, Exchange& outcome);
     static std::size_t closeOnCancellation(Connection& connection, const ExchangeOptions& options);
-    asio::awaitable<beast::error_code> readResponse(
-        Connection& connection, const std::string& idHeader, const std::string& id, Exchange& outcome);
+    asio::awaitable<beast::error_code> readResponse(Connection& connection, const std::string& idHeader,
+        const std::string& id, Clock::time_point deadline, Exchange& outcome);
     void returnToPool(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
     std::unique_ptr<Connection> takeIdle(const std::string& address, const ExchangeOptions& options);
     bool isUsable(Connection& connection, std::chrono::milliseconds idleTimeout) const;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -180,6 +180,26 @@
     CHECK(duration < 1200ms);
 }
 
+TEST_CASE("an exchange ends at its timeout although data keeps arriving")
+{
+    constexpr std::size_t pieces = 2000;
+    auto script = [&](tcp::socket& socket) -> asio::awaitable<void> {
+        co_await readRequest(socket);
+        co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n");
+        for (std::size_t n = 0; n < pieces; ++n) {
+            asio::steady_timer timer(socket.get_executor(), 1ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            boost::system::error_code ec;
+            co_await asio::async_write(socket, asio::buffer("x", 1), asio::redirect_error(asio::use_awaitable, ec));
+            if (ec)
+                co_return;
+        }
+    };
+    auto [exchange, duration] = exchangeOnBusyLoop(script, {}, 300ms);
+    CHECK(exchange.state == ExchangeState::timedOut);
+    CHECK(duration < 400ms);
+}
+
 TEST_CASE("data of a request that timed out is discarded, not delivered later")
 {
     Fixture fixture;
