Key placement: ranges with little load are merged

Cause: nearly every move splits a key range, and ranges were merged only when neighbours happened to get the same owner.

Above 8 ranges a server, ranges with little load move to a neighbour's owner, lightest first, unless that overloads it or takes a server's last range.

Found by the property tests on the way, and mended: neighbours that exchange their owners, and servers that lose their last range and are given some again.

--- a/include/acaciagauge/detail/planning/key_placement.hpp
+++ b/include/acaciagauge/detail/planning/key_placement.hpp
@@ -13,6 +13,8 @@
         double maxTargetLoadRatio
             = 0.85; ///< Target's load after a move over source's load before it; a move that exceeds this is not made.
         std::size_t maxMoves = 4; ///< Limit of the moves of one service in progress at once.
+        std::size_t rangesPerServer = 8; ///< With more ranges than this on average, ranges with little load are merged.
+        std::size_t maxMerges = 4; ///< Limit of the moves that merge ranges, beyond maxMoves.
         KeyNumber maxWidth = 1024; ///< Keys that a move takes at most; wider moves would change owners needlessly.
     };
 
@@ -50,7 +52,10 @@
     /// @complexity O(r log n + n + s) for r ranges, n keys with a rate and s servers
     static std::optional<ServerId> pick(const Input& input, const KeyRange& keys);
 
-    /// @brief Plans moves off overloaded servers, and to servers that own no keys.
+    /// @brief Plans moves off overloaded servers, to servers that own no keys, and moves that merge ranges.
+    ///
+    /// Each range is renewed by an order of its own, and most moves split one. Without merging, the number of orders
+    /// would grow for as long as the load shifts between keys.
     static std::vector<Move> plan(const Options& options, Input input);
 
     /// @brief Splits a range into at most `parts` pieces of about equal load and width.
--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace acaciagauge {
 
@@ -200,6 +201,50 @@
         return best ? std::optional(KeyPlacement::Move { *best, to }) : std::nullopt;
     }
 
+    bool areNeighbours(const KeyPlacement::Range& left, const KeyPlacement::Range& right)
+    {
+        return left.keys.to + 1 == right.keys.from && left.keys.from / keysPerChunk == right.keys.from / keysPerChunk;
+    }
+
+    /// A range that could join a neighbour by moving to its owner.
+    struct Merge {
+        KeyPlacement::Move move;
+        ServerId from;
+        std::size_t neighbour = 0; ///< Index of the range that it joins.
+        double weight = 0;
+    };
+
+    /// Finds the merge that moves the least load, among those that do not overload the neighbour's owner.
+    std::optional<Merge> findLightestMerge(
+        const KeyPlacement::Options& options, const KeyPlacement::Input& input, const PlannedLoad& planned)
+    {
+        std::set<ServerId> usable(planned.usableServers().begin(), planned.usableServers().end());
+        auto maxLoad = std::max(planned.meanLoad() * options.overloadRatio, planned.meanLoad() + options.minExcess);
+        std::map<ServerId, std::size_t> rangeCounts;
+        for (const auto& it : input.ranges)
+            ++rangeCounts[it.owner];
+        std::optional<Merge> best;
+        auto consider = [&](const KeyPlacement::Range& range, std::size_t neighbour, double weight) {
+            const auto& to = input.ranges[neighbour].owner;
+            bool isPossible = to != range.owner && usable.contains(to) && (!best || weight < best->weight);
+            if (isPossible && (planned.rate(to) + weight) / planned.capacity(to) <= maxLoad)
+                best = Merge { { range.keys, to }, range.owner, neighbour, weight };
+        };
+        for (std::size_t n = 0; n < input.ranges.size(); ++n) {
+            const auto& range = input.ranges[n];
+            // A server without keys would be given some again.
+            bool isLast = rangeCounts[range.owner] == 1;
+            if (!range.isMovable || isLast || range.keys.width() > options.maxWidth)
+                continue;
+            auto weight = planned.weight(range.keys);
+            if (n > 0 && areNeighbours(input.ranges[n - 1], range))
+                consider(range, n - 1, weight);
+            if (n + 1 < input.ranges.size() && areNeighbours(range, input.ranges[n + 1]))
+                consider(range, n + 1, weight);
+        }
+        return best;
+    }
+
 } // namespace
 
 std::vector<KeyPlacement::Range> KeyPlacement::divide(std::vector<Server> servers)
@@ -251,6 +296,7 @@
     if (planned.usableServers().size() < 2)
         return moves;
     auto mayPlanMove = [&] { return input.movesInProgress + moves.size() < options.maxMoves; };
+    auto mayPlanMerge = [&] { return input.movesInProgress + moves.size() < options.maxMoves + options.maxMerges; };
     auto addMove = [&](Move move, const ServerId& from) {
         planned.moveWeight(from, move.to, planned.weight(move.keys));
         // Only one move of a range is planned at a time.
@@ -285,6 +331,19 @@
             addMove(std::move(*move), from);
         }
     }
+    auto rangeLimit = planned.usableServers().size() * options.rangesPerServer;
+    while (input.ranges.size() > rangeLimit && mayPlanMerge()) {
+        auto merge = findLightestMerge(options, input, planned);
+        if (!merge)
+            break;
+        // Otherwise the two could exchange their owners.
+        input.ranges[merge->neighbour].isMovable = false;
+        addMove(std::move(merge->move), merge->from);
+        for (auto& it : input.ranges) {
+            if (it.keys == moves.back().keys)
+                it.owner = moves.back().to;
+        }
+    }
     return moves;
 }
 
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -408,4 +408,9 @@
     return served;
 }
 
+std::optional<KeyWorkload> KeyOwnershipSimulation::workload() const
+{
+    return m_controller ? std::optional(m_controller->assigner.workload(m_now)) : std::nullopt;
+}
+
 } // namespace acaciagauge::test
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -70,6 +70,9 @@
     /// @brief Returns the owner of a key as recorded in the store.
     [[nodiscard]] std::optional<ServerId> recordedOwner(KeyNumber key) const;
 
+    /// @brief Returns how much work the controller has; nothing if there is none.
+    [[nodiscard]] std::optional<KeyWorkload> workload() const;
+
     /// @brief Returns the server that holds a key now.
     [[nodiscard]] std::optional<ServerId> holder(KeyNumber key) const;
 
--- a/tests/test_key_ownership.cpp
+++ b/tests/test_key_ownership.cpp
@@ -1,6 +1,7 @@
 #include "support/key_ownership_simulation.hpp"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
@@ -267,3 +268,35 @@
     CHECK(shareOfLimited(20s, false) * offered > 1.5 * perSecond);
     CHECK(simulation.violation() == "");
 }
+
+TEST_CASE("a controller's ranges and orders do not grow with its time in office")
+{
+    constexpr std::size_t servers = 21;
+    KeyOwnershipSimulation::Options options;
+    options.servers = servers;
+    KeyOwnershipSimulation simulation(options);
+    simulation.run(4s);
+    std::mt19937 random(1);
+    std::uniform_real_distribution<double> uniform;
+    // 120 requests per second; four fifths go to 4,000 neighbouring keys, most of these to a few of them.
+    auto drawKey = [&](KeyNumber busyFrom) {
+        auto skewed = busyFrom + static_cast<KeyNumber>(4000 * std::pow(uniform(random), 3));
+        return uniform(random) < 0.8 ? skewed : static_cast<KeyNumber>(uniform(random) * lastKey);
+    };
+    std::uint64_t ordersAt50s = 0;
+    for (int n = 0; n < 333; ++n) {
+        LoadReport report;
+        for (int request = 0; request < 36; ++request)
+            ++report.keys[KeyOwnershipSimulation::service][drawKey(n < 166 ? 20000 : 45000)];
+        simulation.reportLoad(std::move(report));
+        simulation.run(300ms);
+        REQUIRE(simulation.workload());
+        REQUIRE(simulation.workload()->ranges <= 2 * servers * KeyPlacement::Options().rangesPerServer);
+        if (n == 166)
+            ordersAt50s = simulation.workload()->ordersSent;
+    }
+    CHECK(simulation.violation().empty());
+    // As many renewals as the ranges need, and as many orders for moves again.
+    auto renewals = 50.0 / 2.5 * static_cast<double>(servers * KeyPlacement::Options().rangesPerServer);
+    CHECK(static_cast<double>(simulation.workload()->ordersSent - ordersAt50s) < 2 * renewals);
+}
