Changes of a restored store are followed

Cause: every mirror orders changes by the store's revision, and revisions are given out again after a restore, so new changes were dropped as old ones. Class: an order that is valid only for one incarnation of a store, without naming the incarnation.

The store's era (Store-Era in its answers) now orders before the revision, in the mirror and between instances; a mirror of an earlier era is read anew, and an answer of an earlier era is ignored. What the copy lacks is not gone at once: servers have the grace period of an outage, members 3 s.

--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -77,6 +77,9 @@
     /// @param mayHaveLapsed the outage was long enough for entries to expire
     void noteStoreAvailable(TimePoint now, bool mayHaveLapsed);
 
+    /// @brief Records that the store was restored from an older copy: entries that it lacks are written again.
+    void noteStoreRestored(TimePoint now) { m_graceEnd = now + m_options.lapseGrace; }
+
     /// @brief Sets servers whose grace period is over to `gone`, and erases those that have been gone for long.
     /// @return true if something changed
     bool expireEntries(TimePoint now);
--- a/include/acaciagauge/detail/store/store_mirror.hpp
+++ b/include/acaciagauge/detail/store/store_mirror.hpp
@@ -15,6 +15,10 @@
 /// @brief Revision of the platform's store; increases with every change.
 using Revision = std::uint64_t;
 
+/// @brief Increases whenever the store was restored from an older copy. Revisions are given out again after that, so
+/// they are comparable only within an era.
+using StoreEra = std::uint64_t;
+
 /// @brief A key's value and the revision that wrote it.
 struct StoreItem {
     std::string key;
@@ -34,6 +38,7 @@
     bool isSnapshot = false; ///< The changes are all items; a key that is not among them does not exist.
     std::vector<StoreChange> changes;
     std::optional<std::uint64_t> checksum; ///< Of all items of the mirror that sends this; the store sends none.
+    StoreEra era = 0;
 };
 
 /// @brief A peer's response to a request for the changes of the store. Times are as of the response.
@@ -45,7 +50,7 @@
     InstanceId source; ///< Instance that the peer follows; empty if it watches the store.
 };
 
-/// @brief In-memory replica of the store's keys. Orders all changes by revision; its revision never decreases.
+/// @brief In-memory replica of the store's keys. Orders all changes by era and revision; neither goes back.
 class StoreMirror {
 public:
     struct Options {
@@ -54,15 +59,16 @@
 
     static StoreMirror create(Options options);
 
-    /// @brief Applies changes.
-    /// @return the changes that were new, in order of revision
+    /// @brief Applies changes. Those of an earlier era are ignored, and of a later one, all that are no snapshot.
+    /// @return the changes that were new, in order of revision; after a snapshot of a later era, all its items
     /// @complexity O(n log m) for n changes and m items
     std::vector<StoreChange> apply(StoreDelta delta);
 
-    /// @brief Returns the changes after a revision, or a snapshot if tombstones of removals since then were evicted.
+    /// @brief Returns the changes after a revision of an era. It is a snapshot if tombstones of removals since then
+    /// were evicted or if the era has ended, and empty if the era is later than this mirror's.
     ///
     /// Removals before this mirror's first snapshot are not included: the receiver detects them by comparing checksums.
-    [[nodiscard]] StoreDelta changesSince(Revision revision) const;
+    [[nodiscard]] StoreDelta changesSince(StoreEra era, Revision revision) const;
 
     /// @brief Returns false if a mirror with this checksum has the same revision as this one, but different items.
     [[nodiscard]] bool matchesChecksum(Revision revision, std::optional<std::uint64_t> checksum) const;
@@ -70,6 +76,9 @@
     /// @brief Returns the revision up to which all changes are included; 0 before the first delta.
     [[nodiscard]] Revision revision() const { return m_revision; }
 
+    /// @brief Returns the era of the items.
+    [[nodiscard]] StoreEra era() const { return m_era; }
+
     /// @brief Finds an item; null if the key does not exist.
     [[nodiscard]] const StoreItem* find(const std::string& key) const;
 
@@ -81,10 +90,12 @@
     {
     }
     bool applyOne(const StoreChange& change);
+    std::vector<StoreChange> replaceAll(StoreDelta snapshot);
     static std::uint64_t checksumOf(const StoreItem& item);
     void addTombstone(const std::string& key, Revision revision);
 
     Options m_options;
+    StoreEra m_era = 0;
     Revision m_revision = 0;
     std::map<std::string, StoreItem> m_items;
     std::uint64_t m_checksum = 0; ///< Sum of the hashes of all items.
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -163,6 +163,7 @@
   isSnapshot @1 :Bool;
   changes @2 :List(StoreChange);
   checksum @3 :UInt64;  # Of all items in the sender's mirror.
+  era @4 :UInt64;  # Increases when the store was restored from an older copy; orders before the revision.
 }
 
 struct PermitRequest {
@@ -182,7 +183,7 @@
   # the mirror is complete, heldMicros the time since the request arrived, steadyMicros the time for which the store has
   # been available without an outage. source is the peer that the instance follows;
   # empty if it watches the store.
-  changesSince @5 (revision :UInt64, waitMillis :UInt32)
+  changesSince @5 (revision :UInt64, waitMillis :UInt32, era :UInt64)
     -> (delta :StoreDelta, ageMicros :UInt64, heldMicros :UInt64, steadyMicros :UInt64, source :Text);
   # Asks for the permission to send one request to a server that limits its rate. waitMicros says when to send it, or if
   # it is not granted, when the next one could be sent.
--- a/src/core/store/store_mirror.cpp
+++ b/src/core/store/store_mirror.cpp
@@ -65,8 +65,34 @@
     return true;
 }
 
+// Revisions of the earlier era say nothing about those of the snapshot.
+std::vector<StoreChange> StoreMirror::replaceAll(StoreDelta snapshot)
+{
+    auto formerItems = std::move(m_items);
+    m_items.clear();
+    m_tombstones.clear();
+    m_tombstoneOrder.clear();
+    m_evictedUpTo = 0;
+    m_checksum = 0;
+    m_era = snapshot.era;
+    m_revision = snapshot.revision;
+    std::vector<StoreChange> applied;
+    for (auto& it : snapshot.changes) {
+        formerItems.erase(it.item.key);
+        applyOne(it);
+        applied.push_back(std::move(it));
+    }
+    for (const auto& it : formerItems)
+        applied.push_back({ { it.first, {}, m_revision }, true });
+    return applied;
+}
+
 std::vector<StoreChange> StoreMirror::apply(StoreDelta delta)
 {
+    if (delta.era < m_era)
+        return {};
+    if (delta.era > m_era)
+        return delta.isSnapshot ? replaceAll(std::move(delta)) : std::vector<StoreChange>();
     // A key missing from a snapshot older than this mirror may have been created after the snapshot was taken.
     if (delta.isSnapshot && delta.revision < m_revision)
         delta.isSnapshot = false;
@@ -91,12 +117,15 @@
     return applied;
 }
 
-StoreDelta StoreMirror::changesSince(Revision revision) const
+StoreDelta StoreMirror::changesSince(StoreEra era, Revision revision) const
 {
     StoreDelta delta;
+    delta.era = m_era;
     delta.revision = m_revision;
     delta.checksum = m_checksum;
-    delta.isSnapshot = revision < m_evictedUpTo || revision == 0;
+    if (era > m_era)
+        return delta;
+    delta.isSnapshot = era < m_era || revision < m_evictedUpTo || revision == 0;
     for (const auto& it : m_items) {
         if (delta.isSnapshot || it.second.revision > revision)
             delta.changes.push_back({ it.second, false });
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -86,6 +86,8 @@
             return "storeCopyDiffers";
         case LogEvent::storeCallSlow:
             return "storeCallSlow";
+        case LogEvent::storeEra:
+            return "storeEra";
         case LogEvent::storeCallFailed:
             return "storeCallFailed";
         case LogEvent::requestDone:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -42,6 +42,7 @@
     storeSourceLost = 306,
     storeCopyDiffers = 307,
     storeCallSlow = 308,
+    storeEra = 309,
     requestUnknownOutcome = 401,
     requestDone = 402,
     requestRefused = 403,
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -102,10 +102,11 @@
 
         kj::Promise<void> changesSince(ChangesSinceContext context) override
         {
+            auto era = context.getParams().getEra();
             auto revision = context.getParams().getRevision();
             auto wait = std::chrono::milliseconds(context.getParams().getWaitMillis());
             auto answer = m_loop.awaitFromOutside<StoreUpdate>([&](std::function<void(StoreUpdate)> done) {
-                m_loop.hooks.onChangesSince(revision, wait, std::move(done));
+                m_loop.hooks.onChangesSince(era, revision, wait, std::move(done));
             });
             return answer.then([context](StoreUpdate news) mutable {
                 toWire(news.delta, context.getResults().initDelta());
@@ -362,11 +363,12 @@
             }));
     }
 
-    void sendChangesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+    void sendChangesSince(const std::string& address, StoreEra era, Revision revision, std::chrono::milliseconds wait,
         std::function<void(std::optional<StoreUpdate>)> done)
     {
-        auto send = [revision, wait](wire::Peer::Client& peer) {
+        auto send = [era, revision, wait](wire::Peer::Client& peer) {
             auto call = peer.changesSinceRequest();
+            call.setEra(era);
             call.setRevision(revision);
             call.setWaitMillis(static_cast<std::uint32_t>(wait.count()));
             return call.send().then([](capnp::Response<wire::Peer::ChangesSinceResults>&& results) {
@@ -478,11 +480,12 @@
     loop.post([&loop, address, report = std::move(report), done] { loop.sendLoad(address, report, done); });
 }
 
-void RpcNode::changesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+void RpcNode::changesSince(const std::string& address, StoreEra era, Revision revision, std::chrono::milliseconds wait,
     std::function<void(std::optional<StoreUpdate>)> done)
 {
     auto& loop = *m_loop;
-    loop.post([&loop, address, revision, wait, done] { loop.sendChangesSince(address, revision, wait, done); });
+    loop.post(
+        [&loop, address, era, revision, wait, done] { loop.sendChangesSince(address, era, revision, wait, done); });
 }
 
 void RpcNode::requestPermit(
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -20,7 +20,8 @@
         std::function<void(Digest, std::function<void(News)>)> onExchange;
         std::function<void(News)> onAnnounce;
         std::function<void(LoadReport)> onLoad;
-        std::function<void(Revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)>)> onChangesSince;
+        std::function<void(StoreEra, Revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)>)>
+            onChangesSince;
         std::function<void(PermitRequest, std::function<void(PermitReply)>)> onPermit;
     };
 
@@ -50,7 +51,7 @@
     /// @brief Asks a peer for what its copy of the store has beyond a revision.
     /// @param wait the peer answers after this time if it has nothing new
     /// @param done is told nothing if the peer does not answer
-    void changesSince(const std::string& address, Revision revision, std::chrono::milliseconds wait,
+    void changesSince(const std::string& address, StoreEra era, Revision revision, std::chrono::milliseconds wait,
         std::function<void(std::optional<StoreUpdate>)> done);
 
     /// @brief Asks a peer for a permit; `done` is told nothing if the peer does not answer.
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -354,6 +354,7 @@
     out.setAt(delta.revision);
     out.setIsSnapshot(delta.isSnapshot);
     out.setChecksum(delta.checksum.value_or(0));
+    out.setEra(delta.era);
     auto changes = out.initChanges(static_cast<unsigned>(delta.changes.size()));
     unsigned n = 0;
     for (const auto& it : delta.changes) {
@@ -371,6 +372,7 @@
     delta.revision = in.getAt();
     delta.isSnapshot = in.getIsSnapshot();
     delta.checksum = in.getChecksum();
+    delta.era = in.getEra();
     for (auto it : in.getChanges()) {
         auto value = it.getValue();
         StoreItem item { it.getKey(), std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -8,6 +8,13 @@
 using daemon::LogEvent;
 using daemon::LogLevel;
 
+namespace {
+
+    /// Time in which members write their records again after the store was restored.
+    constexpr auto memberReturnTime = std::chrono::seconds(3);
+
+} // namespace
+
 Catalog::Catalog(boost::asio::io_context& context, ports::DocumentsPort documents)
     : m_documents(std::move(documents))
     , m_mirror(StoreMirror::create({}))
@@ -22,8 +29,25 @@
     m_source = source;
     m_changedAfter = changedAfter;
     m_changeAgeMs = changedAfter == TimePoint {} ? "" : std::to_string((monotonicNow() - changedAfter).count() / 1000);
+    noteStoreEra(delta.era);
+    m_isRestoring = isLoaded() && delta.isSnapshot && delta.era > m_mirror.era();
+    if (m_isRestoring)
+        m_servers.noteStoreRestored(monotonicNow());
     for (const auto& it : m_mirror.apply(std::move(delta)))
         applyChange(it);
+    m_isRestoring = false;
+    m_changed.notifyAll();
+}
+
+void Catalog::noteStoreEra(StoreEra era)
+{
+    if (era <= m_storeEra)
+        return;
+    logEvent(isLoaded() ? LogLevel::warn : LogLevel::info, LogEvent::storeEra,
+        { { "era", std::to_string(era) }, { "former", std::to_string(m_storeEra) },
+            { "revision", std::to_string(m_mirror.revision()) } });
+    m_storeEra = era;
+    m_storeEraSince = bootNow();
     m_changed.notifyAll();
 }
 
@@ -57,12 +81,32 @@
     m_changed.notifyAll();
 }
 
-void Catalog::removeLapsedServers()
+void Catalog::removeLapsed()
 {
-    if (m_servers.expireEntries(monotonicNow()))
+    auto now = monotonicNow();
+    bool isChanged = m_servers.expireEntries(now);
+    for (auto it = m_missingMembers.begin(); it != m_missingMembers.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        m_members.erase(it->first);
+        ++m_memberChanges;
+        it = m_missingMembers.erase(it);
+        isChanged = true;
+    }
+    if (isChanged)
         m_changed.notifyAll();
 }
 
+std::optional<TimePoint> Catalog::nextRemoval() const
+{
+    auto due = m_servers.nextDue();
+    for (const auto& it : m_missingMembers)
+        due = std::min(due.value_or(it.second), it.second);
+    return due;
+}
+
 void Catalog::applyChange(const StoreChange& change)
 {
     const auto& key = change.item.key;
@@ -117,6 +161,10 @@
     const auto* known = m_servers.find(id);
     bool isChanged = !known || known->entry.run != entry->run || known->entry.draining != entry->draining
         || known->status == ServerStatus::gone;
+    // The copy may be older than the server's report that it leaves.
+    bool isOutdated = m_isRestoring && known && known->entry.run == entry->run && known->status != ServerStatus::ready;
+    if (isOutdated)
+        return logSkipped(change, "the restored entry is older than the server's leaving");
     m_servers.update(*entry, now, m_changedAfter);
     if (isChanged)
         logEvent(LogLevel::info, entry->draining ? LogEvent::serverLeaving : LogEvent::serverListed,
@@ -128,7 +176,12 @@
 void Catalog::applyMember(const StoreChange& change)
 {
     auto id = change.item.key.substr(std::string_view(membersPrefix).size());
+    if (change.removed && m_isRestoring) {
+        m_missingMembers.emplace(id, monotonicNow() + memberReturnTime);
+        return;
+    }
     ++m_memberChanges;
+    m_missingMembers.erase(id);
     m_members.erase(id);
     if (change.removed)
         return;
@@ -140,22 +193,36 @@
 
 void Catalog::applyController(const StoreChange& change)
 {
-    m_controller.reset();
-    if (change.removed)
+    // A controller keeps its office when the store is restored, until it is replaced or its lease would have ended.
+    if (change.removed && m_isRestoring)
         return;
+    if (change.removed) {
+        m_controller.reset();
+        return;
+    }
     auto controller = decodeController(change.item.value);
-    if (!controller)
+    if (!controller) {
+        m_controller.reset();
         return logSkipped(change, controller.error().message);
+    }
+    if (m_isRestoring && m_controller && controller->epoch < m_controller->epoch)
+        return logSkipped(change, "the restored controller is of an earlier epoch");
     m_controller = *controller;
 }
 
 void Catalog::applyOwners(const ChunkId& id, const StoreChange& change)
 {
+    if (change.removed && m_isRestoring)
+        return;
     if (change.removed)
         return m_keys.erase(id);
     auto chunk = decodeOwnerChunk(id.number, change.item.value);
     if (!chunk)
         return logSkipped(change, chunk.error().message);
+    // Only what a controller wrote after the store was restored is newer than what is known.
+    auto known = m_keys.chunks().find(id);
+    if (m_isRestoring && known != m_keys.chunks().end() && chunk->epoch <= known->second.epoch)
+        return;
     m_keys.set(id, std::move(*chunk));
 }
 
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -18,6 +18,15 @@
     /// @param changedAfter when the mirror was last known to be up to date; the changes were made after this
     void apply(StoreDelta delta, std::string_view source, TimePoint changedAfter);
 
+    /// @brief Records an era that the store or a peer named.
+    void noteStoreEra(StoreEra era);
+
+    /// @brief Returns the latest era that was heard of. The mirror's may be an earlier one.
+    [[nodiscard]] StoreEra storeEra() const { return m_storeEra; }
+
+    /// @brief Returns when the latest era was first heard of, as a reading of bootNow().
+    [[nodiscard]] TimePoint storeEraSince() const { return m_storeEraSince; }
+
     /// @brief Updates whether the store is available.
     void updateStoreAvailability(StoreFreshness::Change change);
 
@@ -25,8 +34,12 @@
     /// @param source who heard it, for the log
     void noteLeaving(const ServerRun& run, std::string_view source);
 
-    /// @brief Removes servers whose entries vanished during a store outage and did not return in time.
-    void removeLapsedServers();
+    /// @brief Removes servers and members whose entries vanished during a store outage, or when the store was restored,
+    /// and did not return in time.
+    void removeLapsed();
+
+    /// @brief Returns when removeLapsed() has something to do next; nothing if there is nothing to remove.
+    [[nodiscard]] std::optional<TimePoint> nextRemoval() const;
 
     [[nodiscard]] const StoreMirror& mirror() const { return m_mirror; }
     [[nodiscard]] const ServerDirectory& servers() const { return m_servers; }
@@ -71,6 +84,10 @@
     std::optional<ControllerRecord> m_controller;
     std::shared_ptr<const DesiredState> m_desiredState;
     bool m_isStoreAvailable = false;
+    StoreEra m_storeEra = 0;
+    TimePoint m_storeEraSince;
+    bool m_isRestoring = false; ///< The changes that are being applied replace those of an earlier era.
+    std::map<InstanceId, TimePoint> m_missingMembers; ///< Until when members that the restored store lacks are kept.
     std::string m_source; ///< Source of the changes that are being applied.
     TimePoint m_changedAfter; ///< Lower bound of the time of the changes that are being applied.
     std::string m_changeAgeMs; ///< Time since m_changedAfter in ms, for the log; empty if unknown.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -76,9 +76,9 @@
 StoreFollower::Hooks EntryNode::followerHooks()
 {
     StoreFollower::Hooks hooks;
-    hooks.changesSince = [this](const std::string& address, Revision after, std::chrono::milliseconds wait,
-                             std::function<void(std::optional<StoreUpdate>)> done) {
-        m_rpc->changesSince(address, after, wait, std::move(done));
+    hooks.changesSince = [this](const std::string& address, StoreEra era, Revision after,
+                             std::chrono::milliseconds wait, std::function<void(std::optional<StoreUpdate>)> done) {
+        m_rpc->changesSince(address, era, after, wait, std::move(done));
     };
     hooks.serverHeartbeat = m_settings.serverHeartbeat;
     // The seeds' addresses have another port. All instances use the same RPC port.
@@ -219,14 +219,14 @@
     hooks.onPermit = [this](PermitRequest request, std::function<void(PermitReply)> done) {
         asio::post(m_context, [this, request = std::move(request), done] { done(m_permits.answer(request)); });
     };
-    hooks.onChangesSince
-        = [this](Revision revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)> done) {
-              auto answer = [this, revision, wait, done]() -> awaitable<void> {
-                  auto update = co_await m_follower.changesForPeer(revision, wait);
-                  done(std::move(update));
-              };
-              asio::co_spawn(m_context, answer, asio::detached);
-          };
+    hooks.onChangesSince = [this](StoreEra era, Revision revision, std::chrono::milliseconds wait,
+                               std::function<void(StoreUpdate)> done) {
+        auto answer = [this, era, revision, wait, done]() -> awaitable<void> {
+            auto update = co_await m_follower.changesForPeer(era, revision, wait);
+            done(std::move(update));
+        };
+        asio::co_spawn(m_context, answer, asio::detached);
+    };
     auto rpc = daemon::RpcNode::create(m_settings.rpcAddress, std::move(hooks));
     if (!rpc)
         return tl::make_unexpected(rpc.error());
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -99,10 +99,14 @@
 {
     auto request = startRequest("readAll", std::chrono::milliseconds(0));
     auto reply = co_await m_store.readAll();
+    m_catalog.noteStoreEra(reply.delta.era);
     if (reply.status != StoreStatus::done) {
         noteFailure(request.call, reply.status, request.requestedAt);
         co_return false;
     }
+    // The answer was under way while the store was restored.
+    if (reply.delta.era < m_catalog.storeEra())
+        co_return false;
     logIfSlow(request, reply.delta.changes.size());
     m_catalog.updateStoreAvailability(m_freshness.confirmByStore(request.requestedAt));
     m_catalog.apply(std::move(reply.delta), "store", request.changedAfter);
@@ -112,7 +116,7 @@
 
 StoreFollower::ChangesRequest StoreFollower::startRequest(std::string_view call, std::chrono::milliseconds wait) const
 {
-    return { call, m_catalog.mirror().revision(), wait, bootNow(), upToDateAt() };
+    return { call, m_catalog.mirror().era(), m_catalog.mirror().revision(), wait, bootNow(), upToDateAt() };
 }
 
 awaitable<bool> StoreFollower::watch(std::chrono::milliseconds wait)
@@ -140,6 +144,9 @@
 // Returns false if the response brought no changes and does not confirm the mirror either.
 bool StoreFollower::applyChanges(ports::StoreReply reply, const ChangesRequest& request)
 {
+    m_catalog.noteStoreEra(reply.delta.era);
+    if (reply.status == StoreStatus::done && reply.delta.era != request.era)
+        reply.status = StoreStatus::compacted;
     // The whole store is watched, so every revision has a change. A response with a later revision but no change has
     // lost some, and is treated like a compacted history.
     bool hasSkippedChanges
@@ -203,7 +210,7 @@
 
 awaitable<void> StoreFollower::followStore()
 {
-    bool wasComplete = m_isComplete;
+    bool wasComplete = m_isComplete && m_catalog.mirror().era() == m_catalog.storeEra();
     auto requestedAt = std::chrono::steady_clock::now();
     auto revision = m_catalog.mirror().revision();
     bool isDone = false;
@@ -217,18 +224,18 @@
         co_await daemon::sleepFor(m_context, backoff());
         co_return;
     }
-    bool hasChanges = m_catalog.mirror().revision() > revision;
+    bool hasChanges = m_catalog.mirror().revision() != revision;
     bool wasQuick = std::chrono::steady_clock::now() - requestedAt < watchPause;
     if (wasComplete && (hasChanges || wasQuick))
         co_await daemon::sleepFor(m_context, watchPause);
 }
 
 awaitable<std::optional<StoreUpdate>> StoreFollower::requestChanges(
-    std::string address, Revision after, std::chrono::milliseconds wait)
+    std::string address, StoreEra era, Revision after, std::chrono::milliseconds wait)
 {
     std::function<void(std::function<void(std::optional<StoreUpdate>)>)> call
-        = [this, address, after, wait](std::function<void(std::optional<StoreUpdate>)> done) {
-              m_hooks.changesSince(address, after, wait, std::move(done));
+        = [this, address, era, after, wait](std::function<void(std::optional<StoreUpdate>)> done) {
+              m_hooks.changesSince(address, era, after, wait, std::move(done));
           };
     co_return co_await daemon::awaitCallback<std::optional<StoreUpdate>>(m_context, call);
 }
@@ -239,14 +246,20 @@
     // large. The first request does not wait, and the present source stays until the peer has proved to be usable.
     auto requestedAt = bootNow();
     auto wait = peer.id == m_source ? m_freshness.peerWait(requestedAt) : std::chrono::milliseconds(0);
-    auto update = co_await requestChanges(peer.rpcAddress, m_catalog.mirror().revision(), wait);
+    const auto& mirror = m_catalog.mirror();
+    auto update = co_await requestChanges(peer.rpcAddress, mirror.era(), mirror.revision(), wait);
+    if (update)
+        m_catalog.noteStoreEra(update->delta.era);
+    bool isOutdated = update && update->delta.era < m_catalog.storeEra();
     // The peer's mirror has grown older while its response was in transit.
     auto validAt = update ? requestedAt + update->held - update->age : TimePoint {};
-    bool isFresh = update && m_freshness.isFresh(validAt, bootNow());
+    bool isFresh = update && !isOutdated && m_freshness.isFresh(validAt, bootNow());
     bool isUsable = isFresh && m_sources.isUsable(peer, update->source, monotonicNow());
     bool hasChanges = false;
-    if (update && update->delta.revision >= m_catalog.mirror().revision()) {
-        hasChanges = update->delta.revision > m_catalog.mirror().revision();
+    bool isAhead
+        = update && !isOutdated && (update->delta.era > mirror.era() || update->delta.revision >= mirror.revision());
+    if (isAhead) {
+        hasChanges = update->delta.era > mirror.era() || update->delta.revision > mirror.revision();
         auto changedAfter = upToDateAt();
         auto at = update->delta.revision;
         auto checksum = update->delta.checksum;
@@ -268,7 +281,9 @@
     m_sources.suspect(peer.id, monotonicNow());
     std::string reason = "no response";
     if (update)
-        reason = isFresh ? "it follows " + update->source : "its mirror is stale";
+        reason = isOutdated ? "its mirror is of an earlier era"
+            : isFresh       ? "it follows " + update->source
+                            : "its mirror is stale";
     logEvent(LogLevel::info, LogEvent::storeSourceLost,
         { { "peer", peer.id }, { "reason", reason },
             { "ageMs", update ? std::to_string(update->age.count() / 1000) : "" }, { "ownAgeMs", ageText() } });
@@ -289,8 +304,10 @@
     bool isCurrent = co_await reload();
     if (isCurrent)
         co_return;
-    auto whole = co_await requestChanges(peer.rpcAddress, 0, std::chrono::milliseconds(0));
-    if (whole && whole->delta.revision >= m_catalog.mirror().revision()) {
+    auto whole = co_await requestChanges(peer.rpcAddress, 0, 0, std::chrono::milliseconds(0));
+    bool isAhead = whole && whole->delta.era == m_catalog.mirror().era()
+        && whole->delta.revision >= m_catalog.mirror().revision();
+    if (isAhead) {
         m_catalog.apply(std::move(whole->delta), "peer", changedAfter);
         m_isComplete = true;
         co_return;
@@ -304,8 +321,8 @@
         co_return;
     std::uniform_int_distribution<std::size_t> pick(0, m_hooks.seeds.size() - 1);
     auto address = m_hooks.seeds[pick(m_random)];
-    auto update = co_await requestChanges(address, 0, std::chrono::milliseconds(0));
-    if (!update || update->delta.revision == 0)
+    auto update = co_await requestChanges(address, 0, 0, std::chrono::milliseconds(0));
+    if (!update || update->delta.revision == 0 || update->delta.era < m_catalog.storeEra())
         co_return;
     logEvent(LogLevel::info, LogEvent::storeRelayed,
         { { "peer", address }, { "to", std::to_string(update->delta.revision) },
@@ -314,22 +331,25 @@
     m_isComplete = true;
 }
 
-awaitable<StoreUpdate> StoreFollower::changesForPeer(Revision after, std::chrono::milliseconds wait)
+awaitable<StoreUpdate> StoreFollower::changesForPeer(StoreEra era, Revision after, std::chrono::milliseconds wait)
 {
     auto requestedAt = bootNow();
     // The wait ends when this instance's mirror becomes too old, so that the follower learns of it at once.
     auto until = std::chrono::steady_clock::time_point(
         monotonicNow() + std::min<Duration>(wait, m_freshness.freshFor(requestedAt)));
     bool isWatching = m_source == storeSourceName;
-    auto mayWait
-        = [&] { return m_catalog.mirror().revision() <= after && isWatching == (m_source == storeSourceName); };
+    const auto& mirror = m_catalog.mirror();
+    auto mayWait = [&] {
+        bool hasChanges = mirror.era() > era || (mirror.era() == era && mirror.revision() > after);
+        return !hasChanges && isWatching == (m_source == storeSourceName);
+    };
     while (mayWait() && std::chrono::steady_clock::now() < until) {
         bool isChanged = co_await m_catalog.changed().wait(until);
         if (!isChanged)
             break;
     }
     StoreUpdate update;
-    update.delta = m_catalog.mirror().changesSince(after);
+    update.delta = mirror.changesSince(era, after);
     auto now = bootNow();
     update.age = m_freshness.age(now);
     update.held = now - requestedAt;
@@ -341,11 +361,11 @@
 awaitable<void> StoreFollower::removeLapsedLoop()
 {
     while (!m_stopped) {
-        auto due = m_catalog.servers().nextDue();
+        auto due = m_catalog.nextRemoval();
         auto until = due ? std::chrono::steady_clock::time_point(*due)
                          : std::chrono::steady_clock::now() + std::chrono::seconds(5);
         co_await m_catalog.changed().wait(until);
-        m_catalog.removeLapsedServers();
+        m_catalog.removeLapsed();
     }
 }
 
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -9,7 +9,7 @@
 public:
     struct Hooks {
         /// Requests the changes after a revision from a peer; calls `done` with nullopt if it does not respond.
-        std::function<void(const std::string& address, Revision after, std::chrono::milliseconds wait,
+        std::function<void(const std::string& address, StoreEra era, Revision after, std::chrono::milliseconds wait,
             std::function<void(std::optional<StoreUpdate>)> done)>
             changesSince;
         std::vector<std::string> seeds; ///< RPC addresses of peers to bootstrap from if the store does not respond.
@@ -29,7 +29,7 @@
     boost::asio::awaitable<bool> reload();
 
     /// @brief Responds to a peer that follows this instance, as soon as there are changes (long polling).
-    boost::asio::awaitable<StoreUpdate> changesForPeer(Revision after, std::chrono::milliseconds wait);
+    boost::asio::awaitable<StoreUpdate> changesForPeer(StoreEra era, Revision after, std::chrono::milliseconds wait);
 
     /// @brief Returns the source of the store's changes: "store", or the id of the peer that is followed.
     [[nodiscard]] const std::string& source() const { return m_source; }
@@ -40,6 +40,7 @@
     /// A request to the store for the changes after a revision.
     struct ChangesRequest {
         std::string_view call; ///< Its name, for the log.
+        StoreEra era = 0;
         Revision after = 0;
         std::chrono::milliseconds wait { 0 };
         TimePoint requestedAt; ///< Reading of bootNow().
@@ -56,7 +57,7 @@
     bool applyChanges(ports::StoreReply reply, const ChangesRequest& request);
     ChangesRequest startRequest(std::string_view call, std::chrono::milliseconds wait) const;
     boost::asio::awaitable<std::optional<StoreUpdate>> requestChanges(
-        std::string address, Revision after, std::chrono::milliseconds wait);
+        std::string address, StoreEra era, Revision after, std::chrono::milliseconds wait);
     boost::asio::awaitable<void> removeLapsedLoop();
     void logIfSlow(const ChangesRequest& request, std::size_t changes) const;
     void noteFailure(std::string_view call, ports::StoreStatus status, TimePoint requestedAt);
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -30,7 +30,7 @@
 /// @brief Response to a read or a watch.
 struct StoreReply {
     StoreStatus status = StoreStatus::unknown;
-    StoreDelta delta;
+    StoreDelta delta; ///< Its era is set whenever the store answered.
 };
 
 /// @brief Precondition of a transaction: the revision that a key must have; 0: the key must not exist.
@@ -56,6 +56,7 @@
 /// @brief Response to a transaction.
 struct StoreWriteReply {
     StoreStatus status = StoreStatus::unknown;
+    StoreEra era = 0; ///< Of the store when it answered; 0 if it did not.
     Revision revision = 0; ///< Revision of the transaction, if it was committed.
     std::vector<StoreItem> currentItems; ///< On conflict: the present items of the conditions' keys.
 };
@@ -63,6 +64,7 @@
 /// @brief Response to creating or renewing a lease.
 struct LeaseReply {
     StoreStatus status = StoreStatus::unknown;
+    StoreEra era = 0; ///< Of the store when it answered; 0 if it did not. The lease ends with its era.
     std::uint64_t lease = 0;
     std::chrono::milliseconds duration { 0 }; ///< Runs from the arrival of the call at the store.
 };
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -43,9 +43,17 @@
         compact();
     }
 
+    /// Replaces the content by that of an older copy.
+    void restore(const FakeStore& copy)
+    {
+        auto nextEra = era + 1;
+        *this = copy;
+        era = nextEra;
+    }
+
     ports::StoreReply readAll() const
     {
-        ports::StoreReply reply { ports::StoreStatus::done, { revision, true, {} } };
+        ports::StoreReply reply { ports::StoreStatus::done, { revision, true, {}, {}, era } };
         for (const auto& it : items)
             reply.delta.changes.push_back({ it.second, false });
         return reply;
@@ -53,9 +61,9 @@
 
     ports::StoreReply changesAfter(Revision after) const
     {
-        if (after < compactedUpTo)
-            return { ports::StoreStatus::compacted, {} };
-        ports::StoreReply reply { ports::StoreStatus::done, { revision, false, {} } };
+        if (after < compactedUpTo || after > revision)
+            return { ports::StoreStatus::compacted, { 0, false, {}, {}, era } };
+        ports::StoreReply reply { ports::StoreStatus::done, { revision, false, {}, {}, era } };
         for (const auto& it : history) {
             if (it.item.revision > after)
                 reply.delta.changes.push_back(it);
@@ -63,6 +71,7 @@
         return reply;
     }
 
+    StoreEra era = 1;
     Revision revision = 0;
     Revision compactedUpTo = 0;
     bool isCompacting = false;
@@ -125,9 +134,10 @@
         }
         auto number = ++startCounts[id];
         StoreFollower::Hooks hooks;
-        hooks.changesSince = [this, id, number](const std::string& address, Revision after,
+        hooks.changesSince = [this, id, number](const std::string& address, StoreEra era, Revision after,
                                  std::chrono::milliseconds wait, std::function<void(std::optional<StoreUpdate>)> done) {
-            asio::co_spawn(context, requestFromPeer(id, number, address.substr(4), after, wait, done), asio::detached);
+            asio::co_spawn(
+                context, requestFromPeer(id, number, address.substr(4), era, after, wait, done), asio::detached);
         };
         process = std::make_unique<Process>(context, members.at(id), storeOf(id), std::move(hooks));
     }
@@ -187,7 +197,7 @@
         return store;
     }
 
-    awaitable<void> requestFromPeer(InstanceId from, unsigned fromStart, InstanceId to, Revision after,
+    awaitable<void> requestFromPeer(InstanceId from, unsigned fromStart, InstanceId to, StoreEra era, Revision after,
         std::chrono::milliseconds wait, std::function<void(std::optional<StoreUpdate>)> done)
     {
         auto toStart = startCounts[to];
@@ -203,7 +213,7 @@
         asio::co_spawn(context, expireRequest(wait + peerRequestSlack, hasEnded, done), asio::detached);
         co_await sleep(transitTime[to]);
         auto& peer = *running.at(to);
-        auto update = co_await peer.follower.changesForPeer(after, wait);
+        auto update = co_await peer.follower.changesForPeer(era, after, wait);
         co_await sleep(transitTime[to]);
         if (*hasEnded || silent.contains(to))
             co_return;
@@ -270,7 +280,7 @@
     {
         Duration age { 0 };
         auto read = [&]() -> awaitable<void> {
-            auto update = co_await running.at(id)->follower.changesForPeer(0, 0ms);
+            auto update = co_await running.at(id)->follower.changesForPeer(0, 0, 0ms);
             age = update.age;
         };
         asio::co_spawn(context, read, asio::detached);
@@ -671,3 +681,65 @@
         CHECK(violations[n] == std::vector<std::string> {});
     }
 }
+
+TEST_CASE("after the store was restored, changes whose revisions were given out before reach all instances")
+{
+    Cluster cluster(2, 3);
+    auto copy = cluster.fakeStore;
+    for (int n = 0; n < 5; ++n)
+        cluster.fakeStore.write("servers/a", "ready");
+    cluster.run(800ms);
+    cluster.fakeStore.restore(copy);
+    cluster.fakeStore.write("servers/a", "draining");
+    cluster.run(1500ms);
+    for (const auto& it : cluster.members)
+        CHECK_FALSE(cluster.isInUse(it.first, "a"));
+}
+
+TEST_CASE("a server whose entry the restored store lacks stays in use until two seconds later")
+{
+    Cluster cluster(1, 2);
+    auto copy = cluster.fakeStore;
+    cluster.fakeStore.write("servers/b", "ready");
+    cluster.run(800ms);
+    cluster.fakeStore.restore(copy);
+    cluster.run(1800ms);
+    for (const auto& it : cluster.members)
+        CHECK(cluster.isInUse(it.first, "b"));
+    cluster.run(2000ms);
+    for (const auto& it : cluster.members)
+        CHECK_FALSE(cluster.isInUse(it.first, "b"));
+}
+
+TEST_CASE("a server that was leaving before the store was restored is not in use again")
+{
+    Cluster cluster(1, 2);
+    cluster.fakeStore.write("servers/b", "ready");
+    cluster.run(800ms);
+    auto copy = cluster.fakeStore;
+    cluster.fakeStore.write("servers/a", "draining");
+    cluster.fakeStore.remove("servers/b");
+    cluster.run(800ms);
+    cluster.fakeStore.restore(copy);
+    cluster.run(1500ms);
+    for (const auto& it : cluster.members) {
+        CHECK_FALSE(cluster.isInUse(it.first, "a"));
+        CHECK_FALSE(cluster.isInUse(it.first, "b"));
+    }
+}
+
+TEST_CASE("members that the restored store lacks are kept until they have registered again")
+{
+    Cluster cluster(1, 3);
+    auto copy = cluster.fakeStore;
+    for (const auto& it : cluster.members)
+        copy.remove(membersPrefix + it.first);
+    cluster.run(200ms);
+    cluster.fakeStore.restore(copy);
+    cluster.run(1500ms);
+    for (const auto& it : cluster.running)
+        CHECK(it.second->catalog.members().size() == 3);
+    cluster.run(3500ms);
+    for (const auto& it : cluster.running)
+        CHECK(it.second->catalog.members().empty());
+}
--- a/tests/test_store_mirror.cpp
+++ b/tests/test_store_mirror.cpp
@@ -68,10 +68,10 @@
                 leader.apply(delta(revision, { removal(key, revision) }));
                 break;
             default:
-                follower.apply(leader.changesSince(follower.revision()));
+                follower.apply(leader.changesSince(0, follower.revision()));
             }
         }
-        follower.apply(leader.changesSince(follower.revision()));
+        follower.apply(leader.changesSince(0, follower.revision()));
         RC_ASSERT(follower.revision() == leader.revision());
         RC_ASSERT(follower.items().size() == leader.items().size());
         for (const auto& it : leader.items())
@@ -121,10 +121,10 @@
                 const auto& source = mirrors[second];
                 if (source.revision() < mirror.revision() || source.revision() == 0)
                     break;
-                auto delta = source.changesSince(mirror.revision());
+                auto delta = source.changesSince(0, mirror.revision());
                 mirror.apply(delta);
                 if (!mirror.matchesChecksum(delta.revision, delta.checksum))
-                    mirror.apply(source.changesSince(0));
+                    mirror.apply(source.changesSince(0, 0));
                 RC_ASSERT(mirror.matchesChecksum(delta.revision, delta.checksum));
                 const auto& expected = states.at(mirror.revision());
                 RC_ASSERT(mirror.items().size() == expected.size());
@@ -136,3 +136,21 @@
     });
     CHECK(holds);
 }
+
+TEST_CASE("a snapshot of a later era replaces the mirror, and changes of an earlier one are ignored")
+{
+    auto mirror = StoreMirror::create({});
+    mirror.apply({ 9, true, { { { "kept", "new", 9 }, false }, { { "lost", "x", 5 }, false } }, {}, 1 });
+    CHECK(mirror.apply({ 12, false, { { { "kept", "newer", 12 }, false } }, {}, 2 }).empty());
+    auto applied = mirror.apply({ 4, true, { { { "kept", "old", 3 }, false } }, {}, 2 });
+    REQUIRE(applied.size() == 2);
+    CHECK(applied[1].item.key == "lost");
+    CHECK(applied[1].removed);
+    CHECK(mirror.era() == 2);
+    CHECK(mirror.revision() == 4);
+    CHECK(mirror.find("kept")->value == "old");
+    CHECK(mirror.apply({ 20, false, { { { "kept", "new", 20 }, false } }, {}, 1 }).empty());
+    CHECK(mirror.apply({ 5, false, { { { "kept", "rewritten", 5 }, false } }, {}, 2 }).size() == 1);
+    CHECK(mirror.changesSince(1, 9).isSnapshot);
+    CHECK(mirror.changesSince(3, 1).changes.empty());
+}
