Members of a restored store register again, under a new lease

A restored store gives out lease numbers again, so an instance that renews its former number may keep another one's lease alive, while its own record is gone: it has no part in the choice of watchers and permit holders, and the others take larger shares of the retry budget. The lease is now bound to the era in which it was created; the instance registers again as soon as it hears of a later one, and revokes no lease of an earlier era.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -60,7 +60,7 @@
     , m_metrics(daemon::Metrics::create())
     , m_catalog(context, m_ports.documents)
     , m_follower(context, selfRecord(), m_ports.store, m_catalog, followerHooks())
-    , m_membership(context, selfRecord(), m_ports.store)
+    , m_membership(context, selfRecord(), m_ports.store, m_catalog)
     , m_controller(context, selfRecord(), m_ports.store, m_ports.orders, m_catalog, m_follower, keyAssignerOptions(),
           controllerHooks())
     , m_permits(context, m_settings.instance, m_catalog, permitHooks())
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -29,10 +29,11 @@
 
 } // namespace
 
-Membership::Membership(asio::io_context& context, MemberRecord self, ports::StorePort store)
+Membership::Membership(asio::io_context& context, MemberRecord self, ports::StorePort store, Catalog& catalog)
     : m_context(context)
     , m_self(std::move(self))
     , m_store(std::move(store))
+    , m_catalog(catalog)
 {
 }
 
@@ -44,38 +45,57 @@
 awaitable<bool> Membership::registerMember()
 {
     auto lease = co_await m_store.createLease(leaseDuration);
+    m_catalog.noteStoreEra(lease.era);
     if (lease.status != StoreStatus::done)
         co_return false;
     m_lease = lease.lease;
+    m_leaseEra = lease.era;
     ports::StoreTransaction transaction;
     transaction.puts.push_back({ membersPrefix + m_self.id, encodeMember(m_self), m_lease });
     auto reply = co_await m_store.commit(std::move(transaction));
-    bool isDone = reply.status == StoreStatus::done;
+    m_catalog.noteStoreEra(reply.era);
+    bool isDone = reply.status == StoreStatus::done && !hasLostLease();
     logEvent(isDone ? LogLevel::info : LogLevel::warn, LogEvent::memberRegistered,
         { { "status", std::string(nameOf(reply.status)) }, { "revision", std::to_string(reply.revision) } });
     co_return isDone;
 }
 
+// Returns early if the store was restored.
+awaitable<void> Membership::waitInEra(std::chrono::milliseconds time)
+{
+    auto until = std::chrono::steady_clock::now() + time;
+    while (!hasLostLease() && std::chrono::steady_clock::now() < until)
+        co_await m_catalog.changed().wait(until);
+}
+
 awaitable<void> Membership::run()
 {
     bool isRegistered = false;
     while (!m_leaving) {
         if (!isRegistered) {
             isRegistered = co_await registerMember();
-            co_await sleepFor(m_context, isRegistered ? renewInterval : retryInterval);
+            if (isRegistered)
+                co_await waitInEra(renewInterval);
+            else
+                co_await sleepFor(m_context, retryInterval);
+            continue;
+        }
+        if (hasLostLease()) {
+            isRegistered = false;
             continue;
         }
         auto reply = co_await m_store.renewLease(m_lease);
-        isRegistered = reply.status != StoreStatus::missing;
+        m_catalog.noteStoreEra(reply.era);
+        isRegistered = reply.status != StoreStatus::missing && !hasLostLease();
         if (isRegistered)
-            co_await sleepFor(m_context, reply.status == StoreStatus::done ? renewInterval : retryInterval);
+            co_await waitInEra(reply.status == StoreStatus::done ? renewInterval : retryInterval);
     }
 }
 
 awaitable<void> Membership::leave()
 {
     m_leaving = true;
-    if (m_lease == 0)
+    if (m_lease == 0 || hasLostLease())
         co_return;
     auto ended = co_await m_store.revokeLease(m_lease);
     logEvent(LogLevel::info, LogEvent::memberRegistered, { { "status", "left, " + std::string(nameOf(ended)) } });
