A controller outlives the restore of the store; without one, grants expire first

Cause: a restored store lacks the latest owners, and perhaps the latest controller and epoch, and gives out lease numbers again. The sitting controller went on renewing a lease that could be another's; a new one started from owners that were no longer true, with an epoch that may have been in use before.

Within an era nothing changes. In a new one the sitting controller takes the office again while its former authority lasts, under a new epoch and a new lease, and has all owners recorded again; no other instance campaigns before that authority must have ended. The key acaciagauge/owners-era says that the records are complete. A controller that does not find it for its era assigns nothing until all earlier grants have expired (about 16 s after the restore). Epochs begin 1,024 higher in each era, so fences rise in any case.

The lease is 5 s instead of 3 s: an outage of 2 s must not end the authority of the only instance that knows the owners. A failed controller is replaced 2 s later than before.

--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -56,10 +56,14 @@
 struct KeyLoadReported {
     LoadReport report;
 };
+/// @brief The store was restored from an older copy and may lack records of owners: all are written again.
+struct OwnerRecordsLost {
+    Epoch epoch = 0; ///< New epoch of the same controller.
+};
 /// @}
 
-using KeyEvent
-    = std::variant<KeyTick, KeyServersChanged, KeyServicesChanged, KeyOrderEnded, OwnerWriteEnded, KeyLoadReported>;
+using KeyEvent = std::variant<KeyTick, KeyServersChanged, KeyServicesChanged, KeyOrderEnded, OwnerWriteEnded,
+    KeyLoadReported, OwnerRecordsLost>;
 
 /// @name Actions of a KeyAssigner
 /// @{
@@ -82,6 +86,8 @@
 struct WriteOwnerChunks {
     std::map<ChunkId, OwnerChunk> chunks;
 };
+/// @brief All owners have been recorded again after their records were lost.
+struct OwnersRecorded { };
 /// @brief A server has seen a higher fence: check in the store whether this instance is still the controller.
 struct CheckAuthority { };
 /// @brief A decision about a key range, for the log.
@@ -94,7 +100,8 @@
 };
 /// @}
 
-using KeyAction = std::variant<SendKeyGrant, SendKeyRelease, WriteOwnerChunks, CheckAuthority, KeyDecision>;
+using KeyAction
+    = std::variant<SendKeyGrant, SendKeyRelease, WriteOwnerChunks, OwnersRecorded, CheckAuthority, KeyDecision>;
 
 /// @brief How much work a KeyAssigner has.
 struct KeyWorkload {
@@ -193,6 +200,7 @@
         std::uint64_t wantedVersion = 0; ///< Version of the current content.
         std::uint64_t sentVersion = 0; ///< Version in the write in flight; 0: none.
         std::uint64_t writtenVersion = 0; ///< Version that the store has.
+        std::uint64_t recoveredVersion = 0; ///< Version from which on the record counts as written again.
     };
 
     struct RateLimit {
@@ -214,6 +222,8 @@
     void onServices(const KeyServicesChanged& event, TimePoint now);
     void onOrderEnded(const KeyOrderEnded& event, TimePoint now);
     void onRecordEnded(const OwnerWriteEnded& event, TimePoint now);
+    void onRecordsLost(const OwnerRecordsLost& event);
+    void reportIfRecorded();
     void onLoad(const KeyLoadReported& event, TimePoint now);
 
     void dropReplacedOwners();
@@ -253,6 +263,7 @@
     std::uint64_t m_lastOrderId = 0;
     std::uint64_t m_lastChunkVersion = 0;
     bool m_isWriteInFlight = false;
+    bool m_isRecordingAgain = false; ///< Records were lost and are being written again.
     TimePoint m_nextWriteAt;
     TimePoint m_nextPlanAt;
     std::map<ServiceName, Service> m_services;
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -94,6 +94,8 @@
         onRecordEnded(*record, now);
     else if (const auto* load = std::get_if<KeyLoadReported>(&event))
         onLoad(*load, now);
+    else if (const auto* lost = std::get_if<OwnerRecordsLost>(&event))
+        onRecordsLost(*lost);
     if (!std::holds_alternative<KeyLoadReported>(event))
         onTick(now);
     return std::move(m_actions);
@@ -698,6 +700,38 @@
     }
     if (!event.written)
         m_nextWriteAt = now + m_options.retryDelay;
+    reportIfRecorded();
+}
+
+// Servers keep what they hold, and this controller knows of all of it. Only the records are missing, and fences of the
+// new epoch are above those of any controller that the store has forgotten.
+void KeyAssigner::onRecordsLost(const OwnerRecordsLost& event)
+{
+    m_epoch = event.epoch;
+    m_isRecordingAgain = true;
+    for (auto& service : m_services) {
+        for (auto& it : service.second.ranges) {
+            markChunkChanged(service.first, it.second);
+            if (it.second.state == RangeState::recording)
+                it.second.recordVersion = m_lastChunkVersion;
+        }
+    }
+    for (auto& it : m_chunks) {
+        it.second.wantedVersion = ++m_lastChunkVersion;
+        it.second.recoveredVersion = it.second.wantedVersion;
+        it.second.sentVersion = 0;
+    }
+    reportIfRecorded();
+}
+
+void KeyAssigner::reportIfRecorded()
+{
+    bool isRecorded = std::all_of(m_chunks.begin(), m_chunks.end(),
+        [](const auto& it) { return it.second.writtenVersion >= it.second.recoveredVersion; });
+    if (!m_isRecordingAgain || !isRecorded)
+        return;
+    m_isRecordingAgain = false;
+    m_actions.emplace_back(OwnersRecorded {});
 }
 
 } // namespace acaciagauge
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -62,6 +62,10 @@
             return "loadUnreported";
         case LogEvent::controllerWorkload:
             return "controllerWorkload";
+        case LogEvent::ownersUnknown:
+            return "ownersUnknown";
+        case LogEvent::ownersRecorded:
+            return "ownersRecorded";
         case LogEvent::desiredStateInForce:
             return "desiredStateInForce";
         case LogEvent::documentSkipped:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -23,6 +23,8 @@
     keyDecision = 109,
     loadUnreported = 110,
     controllerWorkload = 111,
+    ownersUnknown = 112,
+    ownersRecorded = 113,
     ticketInForce = 201,
     ticketAccepted = 202,
     ticketRefused = 203,
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -19,15 +19,19 @@
 
 namespace {
 
-    /// Controller's lease. A failed controller is replaced after this time; keys that need a new owner wait as long.
-    constexpr auto leaseDuration = std::chrono::milliseconds(3000);
+    /// Controller's lease. A failed controller is replaced after this time; keys that need a new owner wait as long. A
+    /// controller that outlives a short outage still knows what a restored store has forgotten.
+    constexpr auto leaseDuration = std::chrono::milliseconds(5000);
 
     /// Renewals per lease duration: one may be lost and another one slow without losing the lease.
-    constexpr int renewalsPerLease = 4;
+    constexpr int renewalsPerLease = 6;
 
     /// Safety margin before a lease's end: for the call's time to reach the store, and for differences of clock rates.
     constexpr auto authorityMargin = std::chrono::milliseconds(250);
 
+    /// Era of a store that was never restored.
+    constexpr StoreEra firstEra = 1;
+
     /// Instances campaign one after the other, this far apart: the first one's record reaches the others within two
     /// steps. Instances beyond the last step share it.
     constexpr auto campaignStep = std::chrono::milliseconds(80);
@@ -97,7 +101,8 @@
 // An instance is a single process: a record of its own while it isn't controller is left over from an earlier epoch.
 bool ControllerRole::isOwnStaleRecord(const ControllerRecord& record) const
 {
-    return record.id == m_self.id && record.rpcAddress == m_self.rpcAddress && !m_actor;
+    return record.id == m_self.id && record.rpcAddress == m_self.rpcAddress && !m_actor
+        && record.era == m_catalog.storeEra();
 }
 
 // The store may pause the expiry of leases during an outage, and no instance can become controller before this lease
@@ -113,6 +118,24 @@
         co_await sleepFor(m_context, retryInterval);
 }
 
+// The record of an earlier era does not count, but its controller may still have authority.
+bool ControllerRole::isVacant() const
+{
+    auto era = m_catalog.mirror().era();
+    const auto& controller = m_catalog.controller();
+    bool isKnown = m_catalog.isLoaded() && m_catalog.isStoreAvailable() && era == m_catalog.storeEra();
+    return isKnown && (!controller || controller->era < era) && bootNow() >= vacantFrom();
+}
+
+TimePoint ControllerRole::vacantFrom() const
+{
+    auto era = m_catalog.mirror().era();
+    const auto* recorded = m_catalog.mirror().find(epochKey);
+    bool isFirst = !recorded && era <= firstEra;
+    bool wasElected = recorded && decodeEpoch(recorded->value).era == era;
+    return isFirst || wasElected ? TimePoint {} : m_catalog.storeEraSince() + leaseDuration;
+}
+
 awaitable<void> ControllerRole::waitForVacancy()
 {
     while (!m_leaving) {
@@ -121,13 +144,14 @@
             co_await revokeStaleLease(controller->lease);
             continue;
         }
-        bool isVacant = m_catalog.isLoaded() && m_catalog.isStoreAvailable() && !m_catalog.controller();
-        if (!isVacant) {
-            co_await m_catalog.changed().waitFor(std::chrono::seconds(5));
+        if (!isVacant()) {
+            auto remaining = vacantFrom() - bootNow();
+            bool mustWait = remaining > Duration::zero() && remaining < std::chrono::seconds(5);
+            co_await m_catalog.changed().waitFor(mustWait ? remaining : std::chrono::seconds(5));
             continue;
         }
         co_await sleepFor(m_context, campaignDelay());
-        if (!m_catalog.controller() && m_catalog.isStoreAvailable())
+        if (isVacant())
             co_return;
     }
 }
@@ -136,22 +160,29 @@
 {
     auto requestedAt = LeaseAuthority::now();
     auto lease = co_await m_store.createLease(leaseDuration);
-    if (lease.status != StoreStatus::done) {
+    m_catalog.noteStoreEra(lease.era);
+    auto era = m_catalog.mirror().era();
+    if (lease.status != StoreStatus::done || lease.era != era) {
         co_await sleepFor(m_context, retryInterval);
         co_return false;
     }
+    // A record of an earlier era may still be there.
+    const auto* formerItem = m_catalog.mirror().find(controllerKey);
     const auto* epochItem = m_catalog.mirror().find(epochKey);
+    const auto& former = m_catalog.controller();
+    auto known = std::max(m_epoch, former ? former->epoch : 0);
     ControllerRecord ownRecord;
     ownRecord.id = m_self.id;
     ownRecord.rpcAddress = m_self.rpcAddress;
-    ownRecord.epoch = (epochItem ? decodeEpoch(epochItem->value) : 0) + 1;
+    ownRecord.epoch = nextEpoch(epochItem ? decodeEpoch(epochItem->value) : EpochRecord {}, known, era);
     ownRecord.lease = lease.lease;
     ownRecord.token = std::to_string(m_random());
+    ownRecord.era = era;
     ports::StoreTransaction transaction;
-    transaction.conditions.push_back({ controllerKey, 0 });
+    transaction.conditions.push_back({ controllerKey, formerItem ? formerItem->revision : 0 });
     transaction.conditions.push_back({ epochKey, epochItem ? epochItem->revision : 0 });
     transaction.puts.push_back({ controllerKey, encodeController(ownRecord), lease.lease });
-    transaction.puts.push_back({ epochKey, std::to_string(ownRecord.epoch), 0 });
+    transaction.puts.push_back({ epochKey, encodeEpoch({ ownRecord.epoch, era }), 0 });
     auto reply = co_await m_store.commit(std::move(transaction));
     bool isElected = co_await confirm(std::move(reply), ownRecord);
     if (!isElected) {
@@ -167,21 +198,24 @@
     }
     m_lease = lease.lease;
     m_epoch = ownRecord.epoch;
+    m_era = era;
     m_authority.extendTo(requestedAt + lease.duration - authorityMargin);
     co_return true;
 }
 
 awaitable<bool> ControllerRole::confirm(ports::StoreWriteReply reply, const ControllerRecord& ownRecord)
 {
+    m_catalog.noteStoreEra(reply.era);
     if (reply.status == StoreStatus::done) {
         m_controllerRevision = reply.revision;
-        co_return true;
+        co_return reply.era == ownRecord.era;
     }
     if (reply.status != StoreStatus::unknown)
         co_return false;
     // The write may have been committed: the record's token tells.
     auto found = co_await m_store.read(controllerKey);
-    if (found.status != StoreStatus::done || found.delta.changes.empty())
+    m_catalog.noteStoreEra(found.delta.era);
+    if (found.status != StoreStatus::done || found.delta.changes.empty() || found.delta.era != ownRecord.era)
         co_return false;
     const auto& item = found.delta.changes.front().item;
     auto record = decodeController(item.value);
@@ -203,10 +237,23 @@
         if (!isCurrent)
             co_await sleepFor(m_context, std::chrono::milliseconds(100));
     }
-    if (!isCurrent || term != m_term || !m_authority.isValid())
+    if (!isCurrent || term != m_term || !m_authority.isValid() || m_catalog.mirror().era() != m_era)
         co_return stepDown("the store could not be read after the election");
-    startAssigner();
+    if (areOwnersRecorded()) {
+        startAssigner(m_catalog.keys());
+    } else {
+        // Servers may hold keys of which no record is left.
+        co_await awaitExpiryOfGrants(term);
+        if (term == m_term && m_authority.isValid() && m_catalog.storeEra() == m_era) {
+            co_await recordOwnersEra();
+            startAssigner(KeyOwnerMap::create());
+        }
+    }
+    if (!m_actor)
+        co_return stepDown("the store was restored before the owners were known");
     while (m_actor && term == m_term) {
+        if (m_catalog.storeEra() != m_era)
+            co_await continueInNewEra();
         updateAssigner();
         co_await m_catalog.changed().waitFor(std::chrono::seconds(1));
         if (m_actor && !m_authority.isValid())
@@ -214,14 +261,81 @@
     }
 }
 
-void ControllerRole::startAssigner()
+bool ControllerRole::areOwnersRecorded() const
+{
+    const auto* item = m_catalog.mirror().find(ownersEraKey);
+    return m_era <= firstEra || (item && item->value == std::to_string(m_era));
+}
+
+// The last grant of an earlier era was sent before the authority of its controller ended.
+awaitable<void> ControllerRole::awaitExpiryOfGrants(std::uint64_t term)
+{
+    auto until = m_catalog.storeEraSince() + leaseDuration + m_options.orderTimeout
+        + withMargin(m_options.grantDuration, m_options.clockMargin) + m_options.expiryMargin;
+    logEvent(LogLevel::warn, LogEvent::ownersUnknown,
+        { { "epoch", std::to_string(m_epoch) }, { "era", std::to_string(m_era) },
+            { "waitMs", std::to_string((until - bootNow()).count() / 1000) } });
+    auto isPending = [&] { return term == m_term && !m_leaving && m_catalog.storeEra() == m_era && bootNow() < until; };
+    while (isPending())
+        co_await m_termEnded.waitFor(std::min<Duration>(retryInterval, std::max(Duration::zero(), until - bootNow())));
+}
+
+// Lets a later controller of this era start from the records.
+awaitable<void> ControllerRole::recordOwnersEra()
+{
+    const auto* item = m_catalog.mirror().find(ownersEraKey);
+    ports::StoreTransaction transaction;
+    transaction.conditions.push_back({ controllerKey, m_controllerRevision });
+    transaction.conditions.push_back({ ownersEraKey, item ? item->revision : 0 });
+    transaction.puts.push_back({ ownersEraKey, std::to_string(m_era), 0 });
+    auto reply = co_await m_store.commit(std::move(transaction));
+    m_catalog.noteStoreEra(reply.era);
+    logEvent(LogLevel::info, LogEvent::ownersRecorded,
+        { { "epoch", std::to_string(m_epoch) }, { "era", std::to_string(m_era) },
+            { "status", std::string(nameOf(reply.status)) } });
+}
+
+// This instance knows all owners and has authority until its lease of the earlier era would have ended, and no other
+// instance campaigns before that. It takes the office again, under a new epoch, and has all owners recorded again.
+awaitable<void> ControllerRole::continueInNewEra()
+{
+    auto term = m_term;
+    while (term == m_term && m_authority.isValid() && m_catalog.storeEra() != m_era) {
+        bool isCurrent = co_await m_follower.reload();
+        bool isElected = false;
+        if (isCurrent && m_catalog.mirror().era() == m_catalog.storeEra()) {
+            const auto& controller = m_catalog.controller();
+            if (controller && controller->era == m_catalog.storeEra())
+                co_return stepDown("another instance was elected after the store was restored");
+            isElected = co_await campaign();
+        }
+        if (!isElected)
+            co_await sleepFor(m_context, std::chrono::milliseconds(100));
+    }
+    if (term != m_term || !m_actor || !m_authority.isValid())
+        co_return;
+    m_chunkRevisions = recordedChunks();
+    m_hooks.metrics->setEpoch(m_epoch);
+    logEvent(LogLevel::warn, LogEvent::controllerWon,
+        { { "epoch", std::to_string(m_epoch) }, { "revision", std::to_string(m_controllerRevision) },
+            { "chunks", std::to_string(m_chunkRevisions.size()) }, { "era", std::to_string(m_era) } });
+    tell(OwnerRecordsLost { m_epoch });
+}
+
+std::map<ChunkId, Revision> ControllerRole::recordedChunks() const
 {
-    m_chunkRevisions.clear();
+    std::map<ChunkId, Revision> revisions;
     for (const auto& it : m_catalog.mirror().items()) {
         if (auto chunk = parseOwnersKey(it.first))
-            m_chunkRevisions[*chunk] = it.second.revision;
+            revisions[*chunk] = it.second.revision;
     }
-    auto assigner = KeyAssigner::create(m_options, m_epoch, m_catalog.keys(), monotonicNow());
+    return revisions;
+}
+
+void ControllerRole::startAssigner(const KeyOwnerMap& recorded)
+{
+    m_chunkRevisions = recordedChunks();
+    auto assigner = KeyAssigner::create(m_options, m_epoch, recorded, monotonicNow());
     auto term = m_term;
     auto hook = [this, term](std::vector<KeyAction> actions, std::optional<KeyWorkload> workload) {
         asio::post(m_context, [this, term, actions = std::move(actions), workload = std::move(workload)] {
@@ -238,7 +352,7 @@
     m_hooks.metrics->setEpoch(m_epoch);
     logEvent(LogLevel::info, LogEvent::controllerWon,
         { { "epoch", std::to_string(m_epoch) }, { "revision", std::to_string(m_controllerRevision) },
-            { "chunks", std::to_string(m_chunkRevisions.size()) } });
+            { "chunks", std::to_string(m_chunkRevisions.size()) }, { "era", std::to_string(m_era) } });
 }
 
 void ControllerRole::reportWorkload(const KeyWorkload& workload)
@@ -301,13 +415,19 @@
         co_await m_termEnded.waitFor(interval);
         if (term != m_term || m_leaving)
             co_return;
+        if (m_catalog.storeEra() != m_era)
+            continue;
+        auto era = m_era;
         auto requestedAt = LeaseAuthority::now();
         auto reply = co_await m_store.renewLease(m_lease);
+        m_catalog.noteStoreEra(reply.era);
         if (term != m_term)
             co_return;
-        if (reply.status == StoreStatus::done)
+        // A restored store may have given the lease's number to another instance.
+        bool isOfEra = era == m_era && reply.era == era;
+        if (isOfEra && reply.status == StoreStatus::done)
             m_authority.extendTo(requestedAt + reply.duration - authorityMargin);
-        if (reply.status == StoreStatus::missing)
+        if (isOfEra && reply.status == StoreStatus::missing)
             co_return stepDown("the store no longer has the lease");
         if (!m_authority.isValid())
             co_return stepDown("the lease was not renewed in time");
@@ -320,7 +440,7 @@
     bool wasController = m_actor != nullptr;
     auto lease = m_lease;
     stepDown("this instance is shutting down");
-    if (!wasController)
+    if (!wasController || m_catalog.storeEra() != m_era)
         co_return;
     auto ended = co_await m_store.revokeLease(lease);
     logEvent(LogLevel::info, LogEvent::controllerLost,
@@ -341,6 +461,8 @@
         asio::co_spawn(m_context, sendRelease(*release), asio::detached);
     else if (const auto* write = std::get_if<WriteOwnerChunks>(&action))
         asio::co_spawn(m_context, writeChunks(*write), asio::detached);
+    else if (std::holds_alternative<OwnersRecorded>(action))
+        asio::co_spawn(m_context, recordOwnersEra(), asio::detached);
     else if (std::holds_alternative<CheckAuthority>(action))
         asio::co_spawn(m_context, checkAuthority(), asio::detached);
     else if (const auto* decision = std::get_if<KeyDecision>(&action))
@@ -376,10 +498,16 @@
         transaction.conditions.push_back({ ownersKey(it.first), m_chunkRevisions[it.first] });
         transaction.puts.push_back({ ownersKey(it.first), encodeOwnerChunk(it.second), 0 });
     }
+    auto era = m_era;
     auto reply = co_await m_store.commit(std::move(transaction));
+    m_catalog.noteStoreEra(reply.era);
     if (term != m_term)
         co_return;
-    if (reply.status == StoreStatus::done) {
+    bool isOfEra = era == m_era && (reply.era == era || reply.era == 0);
+    if (!isOfEra) {
+        // Written again under the new epoch.
+        reply.status = StoreStatus::unknown;
+    } else if (reply.status == StoreStatus::done) {
         for (const auto& it : write.chunks)
             m_chunkRevisions[it.first] = reply.revision;
     } else if (reply.status == StoreStatus::conflict) {
@@ -403,6 +531,9 @@
 {
     auto term = m_term;
     auto found = co_await m_store.read(controllerKey);
+    m_catalog.noteStoreEra(found.delta.era);
+    if (found.delta.era != m_era)
+        co_return;
     bool isStillController = found.status == StoreStatus::done && !found.delta.changes.empty()
         && found.delta.changes.front().item.revision == m_controllerRevision;
     bool isKnown = found.status == StoreStatus::done || found.status == StoreStatus::missing;
--- a/src/entry/controller_role.hpp
+++ b/src/entry/controller_role.hpp
@@ -65,7 +65,14 @@
     boost::asio::awaitable<void> sendRelease(SendKeyRelease order);
     boost::asio::awaitable<void> writeChunks(WriteOwnerChunks write);
     boost::asio::awaitable<void> checkAuthority();
-    void startAssigner();
+    boost::asio::awaitable<void> continueInNewEra();
+    boost::asio::awaitable<void> awaitExpiryOfGrants(std::uint64_t term);
+    boost::asio::awaitable<void> recordOwnersEra();
+    [[nodiscard]] bool isVacant() const;
+    [[nodiscard]] TimePoint vacantFrom() const;
+    [[nodiscard]] bool areOwnersRecorded() const;
+    [[nodiscard]] std::map<ChunkId, Revision> recordedChunks() const;
+    void startAssigner(const KeyOwnerMap& recorded);
     void updateAssigner();
     void reportWorkload(const KeyWorkload& workload);
     void perform(const KeyAction& action);
@@ -86,6 +93,7 @@
     LeaseAuthority m_authority;
     std::uint64_t m_lease = 0;
     Epoch m_epoch = 0;
+    StoreEra m_era = 0; ///< Of the lease and of the epoch.
     std::uint64_t m_term = 0; ///< Number of the present term; responses to calls of an earlier term are dropped.
     Revision m_controllerRevision = 0;
     std::map<ChunkId, Revision> m_chunkRevisions;
--- a/src/entry/store_keys.cpp
+++ b/src/entry/store_keys.cpp
@@ -41,7 +41,7 @@
 {
     return Json {
         { "id", controller.id }, { "epoch", controller.epoch }, { "rpc", controller.rpcAddress },
-        { "lease", controller.lease }, { "token", controller.token }
+        { "lease", controller.lease }, { "token", controller.token }, { "era", controller.era }
     }.dump();
 }
 
@@ -51,15 +51,30 @@
         auto document = Json::parse(text);
         return ControllerRecord { document.at("id").get<InstanceId>(), document.at("epoch").get<Epoch>(),
             document.at("rpc").get<std::string>(), document.at("lease").get<std::uint64_t>(),
-            document.at("token").get<std::string>() };
+            document.at("token").get<std::string>(), document.value("era", StoreEra { 0 }) };
     } catch (const Json::exception& error) {
         return failure(ResultCode::malformedRequest, error.what());
     }
 }
 
-Epoch decodeEpoch(std::string_view text)
+std::string encodeEpoch(const EpochRecord& record)
 {
-    return parseNumber(text).value_or(0);
+    return std::to_string(record.epoch) + " " + std::to_string(record.era);
+}
+
+EpochRecord decodeEpoch(std::string_view text)
+{
+    auto space = text.find(' ');
+    auto era = space == std::string_view::npos ? std::nullopt : parseNumber(text.substr(space + 1));
+    return { parseNumber(text.substr(0, space)).value_or(0), era.value_or(0) };
+}
+
+Epoch nextEpoch(const EpochRecord& recorded, Epoch known, StoreEra era)
+{
+    // More than a store loses in a restore: an epoch lasts seconds, and the copy is seconds old.
+    constexpr Epoch epochsPerEra = 1024;
+    auto erasSince = era > recorded.era ? era - recorded.era : 0;
+    return std::max(recorded.epoch + erasSince * epochsPerEra, known) + 1;
 }
 
 std::string ownersKey(const ChunkId& id)
--- a/src/entry/store_keys.hpp
+++ b/src/entry/store_keys.hpp
@@ -9,6 +9,8 @@
 
 inline constexpr const char* controllerKey = "acaciagauge/controller"; ///< Attached to the controller's lease.
 inline constexpr const char* epochKey = "acaciagauge/epoch";
+inline constexpr const char* ownersEraKey
+    = "acaciagauge/owners-era"; ///< Era in which the records of all owners were last known to be complete.
 inline constexpr const char* membersPrefix = "acaciagauge/members/"; ///< Each key is attached to its instance's lease.
 inline constexpr const char* ownersPrefix = "acaciagauge/owners/";
 
@@ -29,6 +31,7 @@
     std::string rpcAddress;
     std::uint64_t lease = 0; ///< Lease that the record is attached to.
     std::string token; ///< Random; distinguishes campaigns of one instance.
+    StoreEra era = 0; ///< In which the record was written.
 
     bool operator==(const ControllerRecord&) const = default;
 };
@@ -38,8 +41,23 @@
 std::string encodeController(const ControllerRecord& controller);
 Result<ControllerRecord> decodeController(std::string_view text);
 
-/// @brief Parses the value of epochKey; 0 if it is empty or not a number.
-Epoch decodeEpoch(std::string_view text);
+/// @brief The latest epoch of a controller.
+struct EpochRecord {
+    Epoch epoch = 0;
+    StoreEra era = 0; ///< In which it began.
+};
+
+std::string encodeEpoch(const EpochRecord& record);
+
+/// @brief Parses the value of epochKey. A plain number, as former versions wrote it, is an epoch of era 0.
+EpochRecord decodeEpoch(std::string_view text);
+
+/// @brief Returns the epoch of the next controller.
+///
+/// A restored store may lack the latest epochs, so an era begins above all epochs that the one before can have reached.
+/// @param recorded latest epoch in the store
+/// @param known highest epoch that this instance heard of
+Epoch nextEpoch(const EpochRecord& recorded, Epoch known, StoreEra era);
 
 /// @brief Returns the store key of an owner chunk.
 std::string ownersKey(const ChunkId& id);
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -72,7 +72,7 @@
 
 void KeyOwnershipSimulation::startController()
 {
-    ++m_epoch;
+    m_controllerEpoch = ++m_epoch;
     auto recorded = KeyOwnerMap::create();
     std::map<ChunkId, std::uint64_t> revisions;
     for (const auto& it : m_chunks) {
@@ -226,7 +226,7 @@
 bool KeyOwnershipSimulation::applyWrite(
     const WriteOwnerChunks& write, Epoch epoch, const std::map<ChunkId, std::uint64_t>& expected)
 {
-    bool isController = epoch == m_epoch && m_now < m_leaseUntil;
+    bool isController = epoch == m_controllerEpoch && m_now < m_leaseUntil;
     if (!isController || m_isStoreDown)
         return false;
     for (const auto& it : expected) {
@@ -408,6 +408,15 @@
     return served;
 }
 
+void KeyOwnershipSimulation::loseRecords()
+{
+    constexpr Epoch forgottenEpochs = 1024;
+    m_chunks.clear();
+    m_controller->revisions.clear();
+    m_epoch += forgottenEpochs;
+    sendEvent(OwnerRecordsLost { m_epoch });
+}
+
 std::optional<KeyWorkload> KeyOwnershipSimulation::workload() const
 {
     return m_controller ? std::optional(m_controller->assigner.workload(m_now)) : std::nullopt;
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -40,6 +40,8 @@
     void setUnreachable(std::size_t n, bool unreachable) { m_servers[n].isUnreachable = unreachable; }
     void setListed(std::size_t n, bool listed);
     void addServer();
+    /// The store is restored from a copy without records of owners; the controller continues.
+    void loseRecords();
     void setLostRequestShare(double share) { m_lostRequestShare = share; }
     void setLostResponseShare(double share) { m_lostResponseShare = share; }
     void setLateOrderShare(double share) { m_lateOrderShare = share; } ///< Applied up to 12 s after their arrival.
@@ -130,7 +132,8 @@
     std::vector<KeyNumber> m_sampledKeys; ///< Keys whose holders are checked.
     std::optional<Controller> m_controller;
     TimePoint m_leaseUntil; ///< Of the latest controller, in the store.
-    Epoch m_epoch = 0;
+    Epoch m_epoch = 0; ///< Highest one so far.
+    Epoch m_controllerEpoch = 0; ///< With which the latest controller started.
     std::map<ChunkId, StoredChunk> m_chunks;
     std::uint64_t m_revision = 0;
     std::int64_t m_startCount = 0;
--- a/tests/test_key_ownership.cpp
+++ b/tests/test_key_ownership.cpp
@@ -300,3 +300,19 @@
     auto renewals = 50.0 / 2.5 * static_cast<double>(servers * KeyPlacement::Options().rangesPerServer);
     CHECK(static_cast<double>(simulation.workload()->ordersSent - ordersAt50s) < 2 * renewals);
 }
+
+TEST_CASE("a controller records all owners again after the store was restored")
+{
+    auto simulation = settledSimulation();
+    for (int n = 0; n < 20; ++n) {
+        simulation.reportLoad(static_cast<KeyNumber>(n * 911), 60);
+        simulation.run(300ms);
+    }
+    simulation.loseRecords();
+    simulation.run(500ms);
+    // The next controller starts from the records.
+    simulation.killController();
+    simulation.run(9s);
+    CHECK(simulation.violation().empty());
+    CHECK(simulation.servedKeyCount() == simulation.sampledKeyCount());
+}
