--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -84,6 +84,29 @@
         CHECK(!decode("i-1", text));
 }
 
+TEST_CASE("deeply nested entries and numbers out of range are refused")
+{
+    auto decode = platform::documentsPort().decodeServer;
+    auto withValue = [](const std::string& present, const std::string& odd) {
+        std::string text = server;
+        return text.replace(text.find(present), present.size(), odd);
+    };
+    constexpr std::size_t depth = 1'000'000;
+    auto nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(decode("i-1", nested));
+    CHECK_FALSE(decode("i-1", std::string(depth, '[')));
+    CHECK_FALSE(decode("i-1", withValue("\"concurrency\":2", "\"concurrency\":" + nested)));
+    CHECK(decode("i-1", withValue("\"version\":\"v1\"", "\"version\":" + nested)));
+    for (const auto* it : { "1e300", "1e999", "-1", "18446744073709551616", "4294967298", "true" }) {
+        CHECK_FALSE(decode("i-1", withValue("\"concurrency\":2", "\"concurrency\":" + std::string(it))));
+        CHECK_FALSE(decode("i-1", withValue("\"warmup_left_ms\":250", "\"warmup_left_ms\":" + std::string(it))));
+    }
+    for (const auto* it : { "1e300", "1e999", "-1", "18446744073709551616", "true" })
+        CHECK_FALSE(decode("i-1", withValue("1717171717171", it)));
+    for (const auto* it : { "0", "65536", "99999999999", "-1" })
+        CHECK_FALSE(decode("i-1", withValue(":8080", ":" + std::string(it))));
+}
+
 TEST_CASE("a reported load is decoded only if it is complete")
 {
     auto parse = platform::requestDialect().parseLoad;
