A candidate replaces only a controller of an earlier era

A controller of the same era that was elected between the check for a vacancy and the write could have been replaced while it had authority. The record has to be of an earlier era now; otherwise the condition is that there is none, as before the eras. The condition and the next epoch are pure functions with tests.

Owners count as recorded only in the epoch whose controller recorded them.

--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -87,7 +87,9 @@
     std::map<ChunkId, OwnerChunk> chunks;
 };
 /// @brief All owners have been recorded again after their records were lost.
-struct OwnersRecorded { };
+struct OwnersRecorded {
+    Epoch epoch = 0;
+};
 /// @brief A server has seen a higher fence: check in the store whether this instance is still the controller.
 struct CheckAuthority { };
 /// @brief A decision about a key range, for the log.
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -731,7 +731,7 @@
     if (!m_isRecordingAgain || !isRecorded)
         return;
     m_isRecordingAgain = false;
-    m_actions.emplace_back(OwnersRecorded {});
+    m_actions.emplace_back(OwnersRecorded { m_epoch });
 }
 
 } // namespace acaciagauge
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -166,8 +166,6 @@
         co_await sleepFor(m_context, retryInterval);
         co_return false;
     }
-    // A record of an earlier era may still be there.
-    const auto* formerItem = m_catalog.mirror().find(controllerKey);
     const auto* epochItem = m_catalog.mirror().find(epochKey);
     const auto& former = m_catalog.controller();
     auto known = std::max(m_epoch, former ? former->epoch : 0);
@@ -179,7 +177,8 @@
     ownRecord.token = std::to_string(m_random());
     ownRecord.era = era;
     ports::StoreTransaction transaction;
-    transaction.conditions.push_back({ controllerKey, formerItem ? formerItem->revision : 0 });
+    transaction.conditions.push_back(
+        { controllerKey, replaceableRevision(m_catalog.mirror().find(controllerKey), era) });
     transaction.conditions.push_back({ epochKey, epochItem ? epochItem->revision : 0 });
     transaction.puts.push_back({ controllerKey, encodeController(ownRecord), lease.lease });
     transaction.puts.push_back({ epochKey, encodeEpoch({ ownRecord.epoch, era }), 0 });
@@ -461,9 +460,11 @@
         asio::co_spawn(m_context, sendRelease(*release), asio::detached);
     else if (const auto* write = std::get_if<WriteOwnerChunks>(&action))
         asio::co_spawn(m_context, writeChunks(*write), asio::detached);
-    else if (std::holds_alternative<OwnersRecorded>(action))
-        asio::co_spawn(m_context, recordOwnersEra(), asio::detached);
-    else if (std::holds_alternative<CheckAuthority>(action))
+    else if (const auto* recorded = std::get_if<OwnersRecorded>(&action)) {
+        // Of an earlier era otherwise.
+        if (recorded->epoch == m_epoch)
+            asio::co_spawn(m_context, recordOwnersEra(), asio::detached);
+    } else if (std::holds_alternative<CheckAuthority>(action))
         asio::co_spawn(m_context, checkAuthority(), asio::detached);
     else if (const auto* decision = std::get_if<KeyDecision>(&action))
         logEvent(LogLevel::info, LogEvent::keyDecision,
--- a/src/entry/store_keys.cpp
+++ b/src/entry/store_keys.cpp
@@ -77,6 +77,14 @@
     return std::max(recorded.epoch + erasSince * epochsPerEra, known) + 1;
 }
 
+Revision replaceableRevision(const StoreItem* recorded, StoreEra era)
+{
+    if (!recorded)
+        return 0;
+    auto controller = decodeController(recorded->value);
+    return controller && controller->era < era ? recorded->revision : 0;
+}
+
 std::string ownersKey(const ChunkId& id)
 {
     return ownersPrefix + id.service + "/" + std::to_string(id.number);
--- a/src/entry/store_keys.hpp
+++ b/src/entry/store_keys.hpp
@@ -59,6 +59,11 @@
 /// @param known highest epoch that this instance heard of
 Epoch nextEpoch(const EpochRecord& recorded, Epoch known, StoreEra era);
 
+/// @brief Returns the revision at which a candidate may replace the controller's record: that of a record of an earlier
+/// era, otherwise 0, which requires that there is none.
+/// @param recorded the record; null if there is none
+Revision replaceableRevision(const StoreItem* recorded, StoreEra era);
+
 /// @brief Returns the store key of an owner chunk.
 std::string ownersKey(const ChunkId& id);
 
--- a/tests/test_campaign.cpp
+++ b/tests/test_campaign.cpp
@@ -45,3 +45,25 @@
     CHECK(decodeMember(encodeMember(member)) == member);
     CHECK(decodeMember(R"({"id":"e1","domain":"a","rpc":"10.0.0.1:80"})")->cores == 0);
 }
+
+TEST_CASE("only a controller of an earlier era of the store is replaced")
+{
+    ControllerRecord controller { "a", 5, "10.0.0.1:7500", 3, "t", 2 };
+    StoreItem item { controllerKey, encodeController(controller), 17 };
+    CHECK(replaceableRevision(&item, 3) == 17);
+    CHECK(replaceableRevision(&item, 2) == 0);
+    CHECK(replaceableRevision(nullptr, 2) == 0);
+    item.value = "no record";
+    CHECK(replaceableRevision(&item, 3) == 0);
+}
+
+TEST_CASE("epochs of a restored store are above all that it may have forgotten")
+{
+    CHECK(nextEpoch({ 7, 2 }, 0, 2) == 8);
+    CHECK(nextEpoch({ 7, 2 }, 9, 2) == 10);
+    CHECK(nextEpoch({ 7, 2 }, 0, 3) > 1000);
+    CHECK(nextEpoch({}, 0, 1) < nextEpoch({}, 0, 2));
+    CHECK(decodeEpoch(encodeEpoch({ 7, 2 })).epoch == 7);
+    CHECK(decodeEpoch(encodeEpoch({ 7, 2 })).era == 2);
+    CHECK(decodeEpoch("7").epoch == 7);
+}
