A controller of a version without eras is not replaced while it is in charge

Cause: a controller's record without an era, as former versions write it, was read as one of era 0, which is earlier than any era that the store names. During a rolling upgrade a new instance would have replaced the record of a controller of the former version that is alive and goes on sending grants, and callers would have met keys with two owners.

The era is optional now, and a record without one counts as present until its lease ends, as before the eras. The test fails on the former reading (era 0) in 2 of 3 checks.

--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -102,7 +102,7 @@
 bool ControllerRole::isOwnStaleRecord(const ControllerRecord& record) const
 {
     return record.id == m_self.id && record.rpcAddress == m_self.rpcAddress && !m_actor
-        && record.era == m_catalog.storeEra();
+        && !isOfEarlierEra(record, m_catalog.storeEra());
 }
 
 // The store may pause the expiry of leases during an outage, and no instance can become controller before this lease
@@ -124,7 +124,7 @@
     auto era = m_catalog.mirror().era();
     const auto& controller = m_catalog.controller();
     bool isKnown = m_catalog.isLoaded() && m_catalog.isStoreAvailable() && era == m_catalog.storeEra();
-    return isKnown && (!controller || controller->era < era) && bootNow() >= vacantFrom();
+    return isKnown && (!controller || isOfEarlierEra(*controller, era)) && bootNow() >= vacantFrom();
 }
 
 TimePoint ControllerRole::vacantFrom() const
@@ -304,7 +304,7 @@
         bool isElected = false;
         if (isCurrent && m_catalog.mirror().era() == m_catalog.storeEra()) {
             const auto& controller = m_catalog.controller();
-            if (controller && controller->era == m_catalog.storeEra())
+            if (controller && !isOfEarlierEra(*controller, m_catalog.storeEra()))
                 co_return stepDown("another instance was elected after the store was restored");
             isElected = co_await campaign();
         }
--- a/src/entry/store_keys.cpp
+++ b/src/entry/store_keys.cpp
@@ -41,7 +41,7 @@
 {
     return Json {
         { "id", controller.id }, { "epoch", controller.epoch }, { "rpc", controller.rpcAddress },
-        { "lease", controller.lease }, { "token", controller.token }, { "era", controller.era }
+        { "lease", controller.lease }, { "token", controller.token }, { "era", controller.era.value_or(0) }
     }.dump();
 }
 
@@ -49,9 +49,12 @@
 {
     try {
         auto document = Json::parse(text);
+        std::optional<StoreEra> era;
+        if (document.contains("era"))
+            era = document.at("era").get<StoreEra>();
         return ControllerRecord { document.at("id").get<InstanceId>(), document.at("epoch").get<Epoch>(),
             document.at("rpc").get<std::string>(), document.at("lease").get<std::uint64_t>(),
-            document.at("token").get<std::string>(), document.value("era", StoreEra { 0 }) };
+            document.at("token").get<std::string>(), era };
     } catch (const Json::exception& error) {
         return failure(ResultCode::malformedRequest, error.what());
     }
@@ -77,12 +80,17 @@
     return std::max(recorded.epoch + erasSince * epochsPerEra, known) + 1;
 }
 
+bool isOfEarlierEra(const ControllerRecord& controller, StoreEra era)
+{
+    return controller.era && *controller.era < era;
+}
+
 Revision replaceableRevision(const StoreItem* recorded, StoreEra era)
 {
     if (!recorded)
         return 0;
     auto controller = decodeController(recorded->value);
-    return controller && controller->era < era ? recorded->revision : 0;
+    return controller && isOfEarlierEra(*controller, era) ? recorded->revision : 0;
 }
 
 std::string ownersKey(const ChunkId& id)
--- a/src/entry/store_keys.hpp
+++ b/src/entry/store_keys.hpp
@@ -31,7 +31,7 @@
     std::string rpcAddress;
     std::uint64_t lease = 0; ///< Lease that the record is attached to.
     std::string token; ///< Random; distinguishes campaigns of one instance.
-    StoreEra era = 0; ///< In which the record was written.
+    std::optional<StoreEra> era; ///< In which the record was written; empty if by a version that did not know of eras.
 
     bool operator==(const ControllerRecord&) const = default;
 };
@@ -59,6 +59,9 @@
 /// @param known highest epoch that this instance heard of
 Epoch nextEpoch(const EpochRecord& recorded, Epoch known, StoreEra era);
 
+/// @brief Returns whether a record was written before the store was restored. Its controller has to be elected again.
+bool isOfEarlierEra(const ControllerRecord& controller, StoreEra era);
+
 /// @brief Returns the revision at which a candidate may replace the controller's record: that of a record of an earlier
 /// era, otherwise 0, which requires that there is none.
 /// @param recorded the record; null if there is none
--- a/tests/test_campaign.cpp
+++ b/tests/test_campaign.cpp
@@ -57,6 +57,15 @@
     CHECK(replaceableRevision(&item, 3) == 0);
 }
 
+TEST_CASE("a controller of a version without eras is not replaced while its record exists")
+{
+    auto record = decodeController(R"({"id":"a","epoch":5,"rpc":"10.0.0.1:7500","lease":3,"token":"t"})");
+    REQUIRE(record);
+    CHECK_FALSE(isOfEarlierEra(*record, 1));
+    StoreItem item { controllerKey, R"({"id":"a","epoch":5,"rpc":"10.0.0.1:7500","lease":3,"token":"t"})", 17 };
+    CHECK(replaceableRevision(&item, 1) == 0);
+}
+
 TEST_CASE("epochs of a restored store are above all that it may have forgotten")
 {
     CHECK(nextEpoch({ 7, 2 }, 0, 2) == 8);
