A server's entry that was written after a restore is not taken for an old one

What callers would see: a service with a server less, for good.

Cause: an entry in the copy is ignored if its run was known to be leaving or gone. A server whose entry had lapsed, for example behind a cut, and that writes it again before an instance reads the restored store looked the same, and its entry does not change again while it stays ready. Instances that read the store a moment earlier would have used it.

The sequence in the entry tells the two apart: one with a higher sequence than the known entry of the run was written since. The test fails before on both instances; the guard against copies of leaving servers holds as before.

--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -25,6 +25,7 @@
     DomainId domain;
     unsigned slots = 1; ///< Requests that it processes concurrently.
     bool draining = false;
+    std::uint64_t sequence = 0; ///< Rises with each report of the run.
     std::chrono::milliseconds warmupRemaining { 0 }; ///< For how much longer it was slow when it wrote the entry.
 };
 
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -161,8 +161,9 @@
     const auto* known = m_servers.find(id);
     bool isChanged = !known || known->entry.run != entry->run || known->entry.draining != entry->draining
         || known->status == ServerStatus::gone;
-    // The copy may be older than the server's report that it leaves.
-    bool isOutdated = m_isRestoring && known && known->entry.run == entry->run && known->status != ServerStatus::ready;
+    // The copy may be older than the server's leaving. An entry with a higher sequence was written after the restore.
+    bool isOutdated = m_isRestoring && known && known->entry.run == entry->run && known->status != ServerStatus::ready
+        && entry->sequence <= known->entry.sequence;
     if (isOutdated)
         return logSkipped(change, "the restored entry is older than the server's leaving");
     m_servers.update(*entry, now, m_changedAfter);
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -48,6 +48,7 @@
     REQUIRE(entry);
     CHECK(entry->run == ServerRun { "i-1", 1717171717171 });
     CHECK(entry->slots == 2);
+    CHECK(entry->sequence == 4);
     CHECK(entry->warmupRemaining == 250ms);
     CHECK(!entry->draining);
 }
@@ -101,8 +102,10 @@
         CHECK_FALSE(decode("i-1", withValue("\"concurrency\":2", "\"concurrency\":" + std::string(it))));
         CHECK_FALSE(decode("i-1", withValue("\"warmup_left_ms\":250", "\"warmup_left_ms\":" + std::string(it))));
     }
-    for (const auto* it : { "1e300", "1e999", "-1", "18446744073709551616", "true" })
+    for (const auto* it : { "1e300", "1e999", "-1", "18446744073709551616", "true" }) {
         CHECK_FALSE(decode("i-1", withValue("1717171717171", it)));
+        CHECK_FALSE(decode("i-1", withValue("\"sequence\":4", "\"sequence\":" + std::string(it))));
+    }
     for (const auto* it : { "0", "65536", "99999999999", "-1" })
         CHECK_FALSE(decode("i-1", withValue(":8080", ":" + std::string(it))));
 }
--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -79,13 +79,14 @@
     std::vector<StoreChange> history;
 };
 
-/// The value of a server's key is its state.
+/// The value of a server's key is its state; each further character raises the sequence of the entry.
 ports::DocumentsPort documents()
 {
     auto decodeServer = [](const ServerId& id, std::string_view text) -> Result<ServerEntry> {
         ServerEntry entry;
         entry.run.id = id;
-        entry.draining = text == "draining";
+        entry.draining = text.starts_with("draining");
+        entry.sequence = text.size();
         return entry;
     };
     return { "configuration", "servers/", {}, decodeServer };
@@ -728,6 +729,20 @@
     }
 }
 
+TEST_CASE("a server that is back is in use although an instance read its new entry with the restored store")
+{
+    Cluster cluster(1, 2);
+    auto copy = cluster.fakeStore;
+    cluster.fakeStore.remove("servers/a");
+    cluster.run(800ms);
+    // It had lost its connection to the store, and writes its entry again before the instances read it.
+    copy.write("servers/a", "ready again");
+    cluster.fakeStore.restore(copy);
+    cluster.run(1500ms);
+    for (const auto& it : cluster.members)
+        CHECK(cluster.isInUse(it.first, "a"));
+}
+
 TEST_CASE("members that the restored store lacks are kept until they have registered again")
 {
     Cluster cluster(1, 3);
