End-to-end tests: a restored store, and odd entries, on the running daemon

The stand-in's store has eras and can be restored from a copy; until now the wait for expired grants, the controller that continues and the odd entries were shown by plays or by unit tests only.

- Three restores in a row with configuration changes and moves: with the header ignored (mutant) the changes are not in force on any of three daemons.
- All daemons start on a restored store: without the wait for expired grants (mutant) keys are held by two servers, with it none; keys are served again after some 20 s.
- Nine odd entries (100,000 levels of nesting, numbers and ports out of range): all daemons go on and follow the store.

A test that killed only the controller passed on both mutants, because the other instances remember the owners, and was replaced by the second one.

--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -81,6 +81,22 @@
     }
 
     [[nodiscard]] unsigned endedLeases() const { return m_endedLeases; }
+    [[nodiscard]] StoreEra era() const { return m_era; }
+
+    /// Keeps a copy of the present content, for restore().
+    void keepCopy() { m_copy = { m_items, m_leases, m_revision, m_lastLease }; }
+
+    /// Replaces the content by the copy. Revisions and leases are given out again, and the history begins anew.
+    void restore()
+    {
+        m_items = m_copy.items;
+        m_leases = m_copy.leases;
+        m_revision = m_copy.revision;
+        m_lastLease = m_copy.lastLease;
+        m_events.clear();
+        m_compactedRevision = m_revision;
+        ++m_era;
+    }
 
     void expireLeases()
     {
@@ -177,9 +193,10 @@
     {
         auto after = std::stoull(queryValue(target, "after"));
         auto until = Clock::now() + std::chrono::milliseconds(std::stoll(queryValue(target, "wait_ms")));
-        while (after >= m_revision && Clock::now() < until)
+        auto era = m_era;
+        while (after >= m_revision && era == m_era && Clock::now() < until)
             co_await sleepFor(m_context, std::chrono::milliseconds(5));
-        if (after < m_compactedRevision)
+        if (after < m_compactedRevision || after > m_revision)
             co_return jsonResponse(410, Json::object());
         Json events = Json::array();
         for (const auto& it : m_events) {
@@ -266,14 +283,25 @@
             remove(it);
     }
 
+    using Leases = std::map<std::uint64_t, std::pair<std::chrono::milliseconds, Clock::time_point>>;
+
+    struct Copy {
+        std::map<std::string, Item> items;
+        Leases leases;
+        Revision revision = 0;
+        std::uint64_t lastLease = 0;
+    };
+
     asio::io_context& m_context;
+    StoreEra m_era = 1;
+    Copy m_copy;
     std::map<std::string, Item> m_items;
     std::deque<std::pair<Revision, Json>> m_events;
     Revision m_revision = 1;
     Revision m_compactedRevision = 0; ///< Revision of the newest event that the history no longer holds.
     std::uint64_t m_lastLease = 0;
     unsigned m_endedLeases = 0; ///< Leases that their holders revoked; expired ones are not counted.
-    std::map<std::uint64_t, std::pair<std::chrono::milliseconds, Clock::time_point>> m_leases; ///< Duration and expiry.
+    Leases m_leases; ///< Duration and expiry.
 };
 
 /// A server that owns keys: accepts grants and releases, and executes requests.
@@ -372,6 +400,7 @@
             routes["rows"].push_back({ "late", "a.example", "/late/", "safe", timeoutMs, 500, 2, nullptr, 2, "floor" });
         Json services { { "columns", { "name", "health_check", "max_connections", "sharded", "warm_s" } },
             { "rows", { { "floor", "/health", 100, true, 0.0 } } } };
+        m_version = version;
         m_store.put("op/config",
             Json {
                 { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }
@@ -399,14 +428,29 @@
                 { { "runs", m_runs }, { "arrivals", m_arrivals }, { "problems", m_problems },
                     { "endedLeases", m_store.endedLeases() } });
         if (m_faults.isStoreDown)
-            co_return jsonResponse(503, Json::object());
+            co_return withEra(jsonResponse(503, Json::object()));
         bool isWrite = path == "/-/kv-txn";
-        auto response = co_await m_store.handle(std::move(request));
+        auto response = withEra(co_await m_store.handle(std::move(request)));
         if (isWrite && randomBool(m_faults.lostAnswers))
             co_await sleepFor(m_context, std::chrono::seconds(5));
         co_return response;
     }
 
+    Response withEra(Response response) const
+    {
+        response.set("Store-Era", std::to_string(m_store.era()));
+        return response;
+    }
+
+    /// What the operator and the servers wrote is written again.
+    void restoreStore()
+    {
+        m_store.restore();
+        for (const auto& it : m_servers)
+            publishServer(it);
+        publishDesiredState(m_version, 1500);
+    }
+
     Response setFaults(const Json& body)
     {
         bool wasDown = m_faults.isStoreDown;
@@ -452,6 +496,10 @@
                 = body["retryAfter"].at("seconds").get<std::string>();
         if (body.contains("garbage"))
             m_store.put("servers/odd", body["garbage"].get<std::string>());
+        if (body.contains("keepCopy"))
+            m_store.keepCopy();
+        if (body.contains("restore"))
+            restoreStore();
         return jsonResponse(200, Json::object());
     }
 
@@ -572,6 +620,7 @@
     std::shared_ptr<HttpServer> m_storeServer;
     std::vector<KeyServer> m_servers;
     Faults m_faults;
+    unsigned m_version = 0; ///< Of the newest desired state.
     Clock::time_point m_downSince;
     std::mt19937 m_random { 1 };
     Clock::time_point m_startedAt = Clock::now();
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -289,3 +289,73 @@
     // Each daemon's first request, and up to two on their way.
     CHECK(arrivalsAt(cluster.fetchRecord(), refusing).size() <= before + daemons * 3);
 }
+
+TEST_CASE("odd entries of another writer end no daemon and keep none from following the store")
+{
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    constexpr std::size_t depth = 100'000;
+    auto nested = std::string(depth, '[') + std::string(depth, ']');
+    auto entry = [](const std::string& born, const std::string& concurrency, const std::string& port) {
+        return R"({"address":"127.0.0.1:)" + port + R"(","born":)" + born
+            + R"(,"info":{"service":"floor","version":"v1","zone":"a","concurrency":)" + concurrency
+            + R"(},"status":{"state":"ready","sequence":1,"warmup_left_ms":0}})";
+    };
+    std::vector<std::string> oddEntries { nested, std::string(depth, '['), entry(nested, "4", "31450"),
+        entry("1", nested, "31450"), entry("1e999", "4", "31450"), entry("1", "1e300", "31450"),
+        entry("1", "18446744073709551616", "31450"), entry("1", "4", "65536"),
+        entry("1", "4", "99999999999999999999") };
+    for (const auto& it : oddEntries) {
+        cluster.setFaults({ { "garbage", it } });
+        std::this_thread::sleep_for(300ms);
+    }
+    cluster.setFaults({ { "configure", 2 } });
+    for (unsigned n = 0; n < daemons; ++n) {
+        CHECK(cluster.waitUntil([&] { return cluster.sendRequest(n, false, 5, "/late/").status == 200; }));
+        CHECK(cluster.status(n).value("servers", 0) == 4);
+    }
+}
+
+TEST_CASE("after the store was restored from an older copy, changes are in force and keys keep a single owner")
+{
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    std::vector<CallerResult> results;
+    for (unsigned era = 2; era < 5; ++era) {
+        cluster.setFaults({ { "keepCopy", true } });
+        cluster.setFaults({ { "drain", era % 4 } });
+        for (unsigned n = 0; n < 40; ++n)
+            results.push_back(cluster.sendRequest(n % daemons, n % 3 == 0, n * 7919 % 65536));
+        cluster.setFaults({ { "restart", era % 4 } });
+        cluster.setFaults({ { "configure", 2 * era } });
+        cluster.setFaults({ { "restore", true } });
+        cluster.setFaults({ { "configure", 2 * era + 1 } });
+        for (unsigned n = 0; n < daemons; ++n)
+            CHECK(cluster.waitUntil([&] { return cluster.status(n).value("version", 0U) == 2 * era + 1; }));
+        REQUIRE(cluster.waitUntilServing());
+    }
+    CHECK(cluster.sendRequest(0, false, 5, "/late/").status == 200);
+    checkNoViolations(results, cluster.fetchRecord());
+}
+
+TEST_CASE("daemons that start on a restored store give no key a second owner")
+{
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    cluster.setFaults({ { "keepCopy", true } });
+    // Keys move to other servers, and server 1 is ready again: the copy names it as their owner.
+    cluster.setFaults({ { "drain", 1 } });
+    std::this_thread::sleep_for(1500ms);
+    cluster.setFaults({ { "restart", 1 } });
+    for (unsigned n = 0; n < daemons; ++n)
+        cluster.processes().signal(PlatformCluster::nameOf(n), SIGKILL);
+    for (unsigned n = 0; n < daemons; ++n)
+        cluster.processes().wait(PlatformCluster::nameOf(n));
+    cluster.setFaults({ { "restore", true } });
+    for (unsigned n = 0; n < daemons; ++n)
+        cluster.startDaemon(n);
+    // All grants have to expire first, which takes most of the time that is waited once.
+    bool isServing = cluster.waitUntilServing() || cluster.waitUntilServing();
+    REQUIRE(isServing);
+    checkNoViolations({}, cluster.fetchRecord());
+}
