--- a/review/standins.py
+++ b/review/standins.py
@@ -117,6 +117,9 @@
         self.revision = 1
         self.last_lease = 100
         self.changed = asyncio.Event()
+        self.mode = ""  # "": up; "busy": answers 503
+        self.down_since = 0.0
+        self.entries = {}  # server entry -> time of its last write
 
     async def start(self, host, port):
         self.address = f"{host}:{port}"
@@ -126,8 +129,30 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.02)
-            for lease in [it for it, (_, end) in self.leases.items() if end <= time.monotonic()]:
+            for lease in [it for it, (_, end) in self.leases.items() if end <= time.monotonic() and not self.mode]:
                 self.end_lease(lease)
+            silent = [it for it, at in self.entries.items() if time.monotonic() - at > 3 * HEARTBEAT_S]
+            for key in silent:
+                self.record.write(f"{key} expires")
+                del self.entries[key]
+                self.remove(key)
+
+    def down(self, mode):
+        """From now on no call is carried out. Leases pause; entries of servers go on to expire."""
+        self.mode = mode
+        self.down_since = time.monotonic()
+        self._notify()
+
+    def up(self):
+        self.mode = ""
+        paused = time.monotonic() - self.down_since
+        self.leases = {it: (ttl, end + paused) for it, (ttl, end) in self.leases.items()}
+
+    def put_entry(self, key, document):
+        """A server's write. Nothing is done while the store is down."""
+        if not self.mode:
+            self.entries[key] = time.monotonic()
+            self.put(key, document)
 
     def end_lease(self, lease):
         if self.leases.pop(lease, None) is None:
@@ -170,7 +195,8 @@
     async def serve(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
-                status, body = await self.handle(message)
+                status, body = await self.handle(message) if not self.mode else (503, {})
+                status, body = (status, body) if not self.mode else (503, {})
                 writer.write(response(status, json.dumps(body).encode(), [("Content-Type", "application/json")]))
                 await writer.drain()
         except ConnectionError:
@@ -214,7 +240,7 @@
         until = time.monotonic() + min(int(query["wait_ms"]), 30000) / 1000
         while True:
             found = [it for revision, it in self.events if revision > after and it["key"].startswith(prefix)]
-            if found or time.monotonic() >= until:
+            if found or self.mode or time.monotonic() >= until:
                 return 200, {"events": found, "store_revision": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
@@ -245,6 +271,7 @@
         self.id, self.service, self.zone, self.store, self.record = name, service, zone, store, record
         self.slots, self.queue, self.sharded = slots, queue, sharded
         self.state = "ready"
+        self.is_cut = False  # Partitioned from the store.
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.holds = []  # dicts: from, to, fence, until
@@ -271,8 +298,10 @@
                 "status": {"state": self.state, "sequence": self.sequence, "warmup_left_ms": 0}}
 
     def report(self):
+        if self.is_cut:
+            return
         self.sequence += 1
-        self.store.put("servers/" + self.id, self.entry())
+        self.store.put_entry("servers/" + self.id, self.entry())
 
     async def heartbeat(self):
         while True:
@@ -450,6 +479,14 @@
         out.close()
         self.record.write(f"daemon {self.name} starts")
 
+    async def is_controller(self):
+        """Asks the daemon's status page."""
+        connection = await Connection.open(self.control)
+        await connection.send(b"GET /status HTTP/1.1\r\nHost: status\r\n\r\n")
+        answer = await connection.receive(2)
+        connection.close()
+        return bool(answer) and json.loads(answer.body)["isController"]
+
     def memory_mb(self):
         """Resident memory, and its peak since the start."""
         try:
