--- a/review/standins.py
+++ b/review/standins.py
@@ -425,19 +425,19 @@
                                               ("Acaciagauge-Server-Load", load)])
 
 
-def config(services, routes, limits=None, version=7):
+def config(services, routes, version=7, timeout_ms=2000, target_ms=600):
     """The desired state; services: name -> divided by key; routes: (name, prefix, kind, service)."""
     return {
         "version": version,
         "routes": {"columns": ["name", "hostname", "prefix", "route_type", "timeout_ms", "target_latency_ms", "priority",
                                "traffic_split", "max_attempts", "service"],
-                   "rows": [[name, "shop.example", prefix, kind, 2000, 600, 1, None, 2, service]
+                   "rows": [[name, "shop.example", prefix, kind, timeout_ms, target_ms, 1, None, 2, service]
                             for name, prefix, kind, service in routes]},
         "services": {"columns": ["name", "health_check", "max_connections", "protocol", "tls", "sharded", "warm_s", "grants"],
                      "rows": [[name, "/health", 130, "h1", False, sharded, 2.0, "rpc"]
                               for name, sharded in services.items()]},
-        "limits": limits or {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000,
-                             "idle_timeout_ms": 15000},
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
     }
 
 
