--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,7 +24,6 @@
         raise RuntimeError("the service is not served")
     daemon = setup.daemons[0]
     arrived, ended = {}, {}
-    stopped_at = float("inf")
     for server in setup.servers:
         async def note(message, server=server, handle=server.handle):
             arrived[message.header("acaciagauge-request-id")] = (time.monotonic(), server)
@@ -34,13 +33,13 @@
     async def read(connection, work):
         request, head = setup.callers.head("GET", f"/assays/1?work={work}", deadline_ms=DEADLINE_MS)
         at = time.monotonic()
+        setup.record.write(f"caller sends GET {request}, work {work} ms")
         await connection.send(head)
         answer = await connection.receive(DEADLINE_MS / 1000)
         ended[request] = (at, time.monotonic())
         setup.callers.answers[request] = answer.status if answer else None
-        if at - stopped_at > 0:
-            setup.record.write(f"caller gets {answer.status if answer else 'no answer, the connection ends'} for {request}, "
-                               f"sent {time.monotonic() - at:.2f} s before, work {work} ms")
+        setup.record.write(f"caller gets {answer.status if answer else 'no answer, the connection ends'} for {request}, "
+                           f"sent {time.monotonic() - at:.2f} s before, work {work} ms")
         return request
 
     connections = [await standins.Connection.open(daemon.front) for _ in range(8)]
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -45,6 +45,7 @@
         while time.monotonic() < end and daemon.process.returncode is None:
             request, head = setup.callers.head("POST", "/bids/1?work=20", key, 1000, 2)
             sent[request] = (time.monotonic(), daemon)
+            setup.record.write(f"caller sends POST {request} key {key} to {daemon.name}")
             try:
                 connection = await standins.Connection.open(daemon.front)
                 await connection.send(head + b"{}")
@@ -54,6 +55,7 @@
                 break
             status = answer.status if answer else None
             setup.callers.answers[request] = status
+            setup.record.write(f"caller gets {status} for {request}")
             if answer and answer.header("server-leaving") == "1" and daemon not in passed_at:
                 passed_at[daemon] = time.monotonic()
                 setup.record.write(f"{daemon.name} passes on an answer with Server-Leaving for the first time, to {request}")
--- a/review/standins.py
+++ b/review/standins.py
@@ -409,13 +409,14 @@
         start = time.monotonic()
         self.running[request] = (key, start)
         self.begun.add(request)
-        if method == "POST":
+        is_probe = method == "GET" and not found
+        if not is_probe:
             self.record.write(f"server {self.id} begins {method} {request} key {key}")
         await asyncio.sleep(work)
         end = time.monotonic()
         del self.running[request]
         self.runs.append((request, key, start, end))
-        if method == "POST":
+        if not is_probe:
             self.record.write(f"server {self.id} ends {method} {request} key {key}")
         async with self.idle:
             self.idle.notify_all()
