Requests in progress at the end of a planned stop are answered, not cut

Cause: until 2.6 s after SIGTERM each request was taken and passed on with its own deadline, also one after the end of the process, so a server kept it in its queue; at the end the event loop was stopped, and nothing was written to the callers of what was in progress, whenever it had come.

The new case of test_platform_path ("have not answered at the end") leaves two of four requests without an answer on: one sent before SIGTERM, one just after it; the other two were refused.

Fix: a server gets no more time than the instance has left, so it refuses in time what it still queues. At the end all requests in progress are answered (503 with Retry-After 0 if not sent, else 502) and written before the process exits. The times follow from the grace period in ShutdownSchedule. Refusing from SIGTERM on whatever could last too long was ruled out: callers that cannot know of the stop would be refused for 2.6 s on each route with a long timeout.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -19,17 +19,11 @@
 
 namespace {
 
-    /// Time until the load balancer has taken this instance out of rotation, which needs two failed health checks, a
-    /// second apart. New callers arrive until then.
-    constexpr auto balancerDetectionTime = std::chrono::milliseconds(2600);
-
-    /// Part of the grace time that is kept for the exit of the process.
-    constexpr auto exitMargin = std::chrono::milliseconds(700);
-
     /// Longest time between the last check of a server's status and the request's arrival there.
     constexpr auto deliveryMargin = std::chrono::milliseconds(700);
 
     constexpr auto drainPollInterval = std::chrono::milliseconds(50);
+    constexpr auto flushPollInterval = std::chrono::milliseconds(5);
     constexpr auto pruneInterval = std::chrono::seconds(10);
 
     /// File descriptors reserved for files, other instances and the store.
@@ -305,20 +299,23 @@
     if (m_leaving)
         co_return 0;
     m_leaving = true;
-    auto started = monotonicNow();
-    auto end = started + m_settings.terminationGracePeriod - exitMargin;
+    auto schedule = ShutdownSchedule::create(monotonicNow(), m_settings.terminationGracePeriod);
     logEvent(LogLevel::info, LogEvent::leaving, { { "inFlight", std::to_string(m_forwarder.inFlight()) } });
-    m_forwarder.startShutdown({ started + balancerDetectionTime, end });
+    m_forwarder.startShutdown(schedule);
     m_callerServer->drain();
     asio::co_spawn(m_context, m_controller.leave(), asio::detached);
     asio::co_spawn(m_context, m_membership.leave(), asio::detached);
-    while (monotonicNow() < started + balancerDetectionTime && monotonicNow() < end)
+    while (monotonicNow() < schedule.takeAllUntil)
         co_await sleepFor(m_context, drainPollInterval);
     m_callerServer->stop();
-    while (m_callerServer->connectionCount() > 0 && monotonicNow() < end)
+    while (m_callerServer->connectionCount() > 0 && monotonicNow() < schedule.answerAllAt)
         co_await sleepFor(m_context, drainPollInterval);
+    auto unfinished = m_forwarder.inFlight();
+    m_forwarder.endShutdown();
+    while (m_callerServer->hasPendingResponses() && monotonicNow() < schedule.exitAt)
+        co_await sleepFor(m_context, flushPollInterval);
     m_follower.stop();
-    co_return m_forwarder.inFlight();
+    co_return unfinished;
 }
 
 } // namespace acaciagauge::entry
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -130,6 +130,11 @@
 
 net::Response RequestForwarder::respondNotRun(PendingRequest& pending, Duration retryAfter)
 {
+    // Another instance may still serve the request.
+    if (m_shutdown && monotonicNow() >= m_shutdown->end) {
+        pending.cause = "this instance is shutting down";
+        retryAfter = Duration::zero();
+    }
     auto response = makeErrorResponse(pending, 503, ResultCode::noOwner, pending.cause);
     response.set(http::field::retry_after, secondsText(retryAfter));
     m_hooks.metrics->countRequest(Outcome::notRun, monotonicNow() - pending.started);
@@ -225,6 +230,29 @@
     co_return co_await forward(pending);
 }
 
+void RequestForwarder::endShutdown()
+{
+    m_upstreams.refuseWaiting();
+    m_shutdownEnd->cancel();
+}
+
+// With a later deadline, a server could still hold the request in its queue when this instance has to answer it.
+TimePoint RequestForwarder::serverDeadline(const PendingRequest& pending) const
+{
+    return m_shutdown ? m_shutdown->limitDeadline(pending.deadline) : pending.deadline;
+}
+
+awaitable<void> RequestForwarder::sleepUntilShutdownEnds(Duration time)
+{
+    if (m_shutdownEnd->isCancelled())
+        co_return;
+    asio::steady_timer timer(m_context, time);
+    auto registered = m_shutdownEnd->add([&timer] { timer.cancel(); });
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    m_shutdownEnd->remove(registered);
+}
+
 const KnownServer* RequestForwarder::ownerOf(
     const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const
 {
@@ -262,7 +290,7 @@
 // Returns null and sets pending.cause if no server becomes available in time.
 awaitable<const KnownServer*> RequestForwarder::findServer(PendingRequest& pending)
 {
-    auto waitUntil = std::min(pending.deadline, monotonicNow() + maxOwnerWait);
+    auto waitUntil = std::min(serverDeadline(pending), monotonicNow() + maxOwnerWait);
     while (true) {
         bool mayChangeSoon = true;
         const auto* server = pending.key ? ownerOf(pending, pending.cause, mayChangeSoon)
@@ -295,7 +323,7 @@
         // Copied, since the directory may change while this coroutine waits.
         auto server = *found;
         pending.lastServer = server.entry.run.id;
-        ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, pending.deadline };
+        ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, serverDeadline(pending) };
         auto retryAfter = co_await waitForPermit(pending, server, work);
         if (retryAfter) {
             if (pending.history.mayHaveRun > 0)
@@ -314,7 +342,7 @@
         pending.cause = result.cause;
         timedOut = result.timedOut;
         pending.history.last = result.outcome;
-        pending.history.remaining = pending.deadline - monotonicNow();
+        pending.history.remaining = serverDeadline(pending) - monotonicNow();
         pending.history.serviceTime = m_upstreams.expectedTime(server.entry.run.id);
         auto next = decideRetry(pending.history);
         if (next == RetryDecision::answer)
@@ -352,7 +380,7 @@
         co_return reply.wait;
     }
     if (reply.wait > Duration::zero())
-        co_await daemon::sleepFor(m_context, reply.wait);
+        co_await sleepUntilShutdownEnds(reply.wait);
     co_return std::nullopt;
 }
 
@@ -369,7 +397,7 @@
     }
     out.body() = pending.request.body();
     out.prepare_payload();
-    auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(pending.deadline - monotonicNow());
+    auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(serverDeadline(pending) - monotonicNow());
     out.set(m_dialect.deadlineMs, std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
     out.set(m_dialect.targetServer, server.entry.run.id);
     return out;
@@ -386,6 +414,7 @@
     // A non-idempotent request that was sent as a whole is not cancelled, even if the caller has disconnected.
     options.cancellation = pending.cancellation;
     options.uncancellableOnceSent = !pending.history.idempotent;
+    options.abort = m_shutdownEnd;
     options.avoidedConnections = pending.connections;
     options.mayStillSend = [this, run = server.entry.run] { return mayBeSentTo(run); };
     auto request = buildRequest(pending, server);
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -32,9 +32,13 @@
     /// @brief Returns how many requests are in progress.
     [[nodiscard]] std::size_t inFlight() const { return m_inFlight; }
 
-    /// @brief From now on, refuses requests that the schedule does not allow.
+    /// @brief From now on, refuses requests that the schedule does not allow, and gives servers no more time than it
+    /// allows.
     void startShutdown(const ShutdownSchedule& schedule) { m_shutdown = schedule; }
 
+    /// @brief Answers all requests in progress without waiting for their servers any longer.
+    void endShutdown();
+
     void setRetries(RetryShare::Options options) { m_retries.setOptions(options); }
 
     /// @brief Adds what servers reported and how fast they were since the last call.
@@ -80,6 +84,8 @@
     boost::asio::awaitable<std::optional<Duration>> waitForPermit(
         PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
     const KnownServer* ownerOf(const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const;
+    [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
+    boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
     [[nodiscard]] bool isPastDrainWindow(const KnownServer& server) const;
     [[nodiscard]] bool mayBeSentTo(const ServerRun& run) const;
     boost::asio::awaitable<SendResult> send(PendingRequest& pending, KnownServer server, std::uint64_t workId);
@@ -106,6 +112,7 @@
     WeightedRoundRobin m_serviceSelector;
     RetryShare m_retries;
     std::optional<ShutdownSchedule> m_shutdown;
+    std::shared_ptr<net::Cancellation> m_shutdownEnd = net::Cancellation::create(); ///< Cancelled when it has ended.
     std::size_t m_inFlight = 0;
 };
 
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -193,6 +193,17 @@
     }
 }
 
+void Upstreams::refuseWaiting()
+{
+    for (auto& it : m_upstreams) {
+        for (auto& waiter : it.second.waiters) {
+            it.second.limiter.withdraw(waiter.first);
+            waiter.second->isAdmitted = false;
+            waiter.second->timer.cancel();
+        }
+    }
+}
+
 awaitable<void> Upstreams::wakeLoop(ServerId id)
 {
     m_upstreams.at(id).isWakeLoopRunning = true;
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -22,6 +22,9 @@
     boost::asio::awaitable<std::optional<std::uint64_t>> admit(
         const KnownServer& server, ConcurrencyLimiter::Work work, std::shared_ptr<net::Cancellation> cancellation);
 
+    /// @brief Refuses all requests that wait to be sent.
+    void refuseWaiting();
+
     /// @brief Returns how long a request to the server may wait before it is sent.
     [[nodiscard]] Duration waitLimit(const KnownServer& server, const ConcurrencyLimiter::Work& work);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -231,6 +231,8 @@
         outcome.state = ExchangeState::answered;
         co_return;
     }
+    if (isAborted(options))
+        outcome.error = "the exchange was aborted";
     if (outcome.error.empty())
         outcome.error = ec.message();
     if (ec == beast::error::timeout && outcome.state == ExchangeState::incomplete)
@@ -244,6 +246,16 @@
     co_return co_await exchange(std::move(address), std::move(request), std::move(options));
 }
 
+bool HttpClient::isAborted(const ExchangeOptions& options)
+{
+    return options.abort && options.abort->isCancelled();
+}
+
+std::size_t HttpClient::closeOnAbort(Connection& connection, const ExchangeOptions& options)
+{
+    return options.abort ? options.abort->add([&connection] { connection.stream.close(); }) : 0;
+}
+
 std::size_t HttpClient::closeOnCancellation(Connection& connection, const ExchangeOptions& options)
 {
     if (!options.cancellation)
@@ -265,7 +277,7 @@
         co_return outcome;
     outcome.wasReused = connection->wasUsed;
     outcome.connection = connection->id;
-    bool isAbandoned = (options.cancellation && options.cancellation->isCancelled())
+    bool isAbandoned = isAborted(options) || (options.cancellation && options.cancellation->isCancelled())
         || (options.mayStillSend && !options.mayStillSend());
     if (isAbandoned) {
         outcome.error = "the request was cancelled before it was sent";
@@ -273,10 +285,13 @@
     }
     connection->isRequestSent = false;
     auto callbackId = closeOnCancellation(*connection, options);
+    auto abortId = closeOnAbort(*connection, options);
     connection->stream.expires_at(deadline);
     co_await sendAndReceive(*connection, request, options, deadline, outcome);
     if (options.cancellation)
         options.cancellation->remove(callbackId);
+    if (options.abort)
+        options.abort->remove(abortId);
     bool mayReuse
         = outcome.state == ExchangeState::answered && (!options.mayReuse || options.mayReuse(outcome.response));
     if (mayReuse)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -60,6 +60,7 @@
         std::string idHeader; ///< If set, responses whose value of this header differs from the request's are skipped.
         std::shared_ptr<Cancellation> cancellation; ///< Closes the connection when cancelled.
         bool uncancellableOnceSent = false; ///< Once fully written, the request is not cancelled.
+        std::shared_ptr<Cancellation> abort; ///< Closes the connection when cancelled, whatever has been written.
         std::chrono::milliseconds idleTimeout { 0 }; ///< 0: as in the client's options.
         std::function<bool(const Response&)> mayReuse; ///< If set, false closes the connection after this response.
         /// Connections not to use: they carried the same request before, and a late copy of the response to it cannot
@@ -105,7 +106,9 @@
     asio::awaitable<bool> remainsOpen(Connection& connection);
     asio::awaitable<void> sendAndReceive(Connection& connection, Request& request, const ExchangeOptions& options,
         Clock::time_point deadline, Exchange& outcome);
+    static bool isAborted(const ExchangeOptions& options);
     static std::size_t closeOnCancellation(Connection& connection, const ExchangeOptions& options);
+    static std::size_t closeOnAbort(Connection& connection, const ExchangeOptions& options);
     asio::awaitable<beast::error_code> readResponse(Connection& connection, const std::string& idHeader,
         const std::string& id, Clock::time_point deadline, Exchange& outcome);
     void returnToPool(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_session.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -117,6 +118,12 @@
     return sessions;
 }
 
+bool HttpServer::hasPendingResponses() const
+{
+    auto open = sessions();
+    return std::any_of(open.begin(), open.end(), [](const auto& it) { return it->hasPendingResponses(); });
+}
+
 HttpServerLimits HttpServer::limits() const
 {
     if (m_options.limits)
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -65,6 +65,9 @@
     /// @brief Returns the number of requests in progress.
     [[nodiscard]] std::size_t inFlight() const { return m_inFlight; }
 
+    /// @brief Returns true if a request has been read whose response has not been written yet.
+    [[nodiscard]] bool hasPendingResponses() const;
+
     /// @brief Returns the number of open connections.
     [[nodiscard]] std::size_t connectionCount() const { return m_sessions.size(); }
 
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -20,6 +20,9 @@
     /// @brief Starts reading requests and writing responses.
     void start();
 
+    /// @brief Returns true if a request has been read whose response has not been written yet.
+    [[nodiscard]] bool hasPendingResponses() const { return !m_calls.empty() && !m_isClosed; }
+
     /// @brief Closes the connection if no request is in progress on it.
     void closeIfIdle();
 
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -369,7 +369,7 @@
             server.http->start();
             publishServer(server);
         }
-        publishDesiredState(1, 1500);
+        publishDesiredState(1, m_timeoutMs);
         asio::co_spawn(m_context, expireLeasesLoop(), asio::detached);
         return true;
     }
@@ -401,6 +401,7 @@
         Json services { { "columns", { "name", "health_check", "max_connections", "sharded", "warm_s" } },
             { "rows", { { "floor", "/health", 100, true, 0.0 } } } };
         m_version = version;
+        m_timeoutMs = timeoutMs;
         m_store.put("op/config",
             Json {
                 { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }
@@ -448,7 +449,7 @@
         m_store.restore();
         for (const auto& it : m_servers)
             publishServer(it);
-        publishDesiredState(m_version, 1500);
+        publishDesiredState(m_version, m_timeoutMs);
     }
 
     Response setFaults(const Json& body)
@@ -464,7 +465,7 @@
         m_faults.executionTime = std::chrono::milliseconds(body.value("executionMs", m_faults.executionTime.count()));
         m_faults.lateGrants = body.value("lateGrants", m_faults.lateGrants);
         if (body.contains("configure"))
-            publishDesiredState(body["configure"].get<unsigned>(), 1500);
+            publishDesiredState(body["configure"].get<unsigned>(), body.value("timeoutMs", m_timeoutMs));
         if (body.contains("compact"))
             m_store.compact();
         if (body.contains("drain")) {
@@ -621,6 +622,7 @@
     std::vector<KeyServer> m_servers;
     Faults m_faults;
     unsigned m_version = 0; ///< Of the newest desired state.
+    unsigned m_timeoutMs = 1500; ///< Timeout of its routes.
     Clock::time_point m_downSince;
     std::mt19937 m_random { 1 };
     Clock::time_point m_startedAt = Clock::now();
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -245,6 +245,39 @@
         CHECK(it.at("id") != "late");
 }
 
+TEST_CASE("requests that servers have not answered at the end of a daemon's grace time are answered, not cut")
+{
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    cluster.setFaults({ { "configure", 2 }, { "timeoutMs", 9000 }, { "executionMs", 20000 } });
+    REQUIRE(cluster.waitUntil([&] { return cluster.status(0).value("version", 0) == 2; }));
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (unsigned n = 0; n < 4; ++n)
+        callers.emplace_back(context).connect(net::parseEndpoint(cluster.callersAddress(0)).value());
+    auto send = [&](unsigned n, const std::string& start) {
+        auto head = start + " HTTP/1.1\r\nHost: a.example\r\nAcaciagauge-Request-Id: r" + std::to_string(n)
+            + "\r\nAcaciagauge-Deadline-Ms: 9000\r\nAcaciagauge-Shard-Key: 5\r\n\r\n";
+        boost::asio::write(callers[n], boost::asio::buffer(head));
+    };
+    send(0, "POST /bid/");
+    std::this_thread::sleep_for(200ms);
+    cluster.processes().signal("d0", SIGTERM);
+    send(1, "POST /bid/");
+    std::this_thread::sleep_for(1200ms);
+    send(2, "GET /view/");
+    std::this_thread::sleep_for(1100ms);
+    send(3, "GET /view/");
+    for (unsigned n = 0; n < callers.size(); ++n) {
+        CAPTURE(n);
+        std::string answer;
+        boost::system::error_code ec;
+        boost::asio::read_until(callers[n], boost::asio::dynamic_buffer(answer), "\r\n\r\n", ec);
+        CHECK(answer.substr(0, 10) == "HTTP/1.1 5");
+    }
+    CHECK(cluster.processes().wait("d0") == 3);
+}
+
 TEST_CASE("a server that says that it is leaving gets no requests later than its drain time, and its keys move")
 {
     constexpr unsigned key = 5;
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -27,8 +27,15 @@
     unsigned connection = 0; ///< Number of the connection, from 0.
     unsigned number = 0; ///< Number of the request on its connection, from 0.
     std::string id;
+    int deadlineMs = 0; ///< Time that the server has for it.
 };
 
+std::string headerIn(const std::string& head, const std::string& name)
+{
+    auto at = head.find("\r\n" + name + ": ") + name.size() + 4;
+    return head.substr(at, head.find("\r\n", at) - at);
+}
+
 std::string responseTo(const Received& request, const std::string& status, const std::string& headers = {})
 {
     return "HTTP/1.1 " + status + "\r\nX-Id: " + request.id + "\r\n" + headers + "Content-Length: 2\r\n\r\nok";
@@ -145,8 +152,7 @@
                 socket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, ec));
             if (ec)
                 co_return;
-            auto at = buffer.find("X-Id: ") + 6;
-            Received request { connection, n, buffer.substr(at, buffer.find("\r\n", at) - at) };
+            Received request { connection, n, headerIn(buffer, "X-Id"), std::stoi(headerIn(buffer, "X-Deadline-Ms")) };
             buffer.erase(0, length);
             received.push_back(request);
             auto bytes = script(request);
@@ -156,25 +162,31 @@
         }
     }
 
-    /// Forwards a request and returns the response to its caller.
-    net::Response forward(const std::string& path, const std::string& id)
+    /// Starts to forward a request; the result holds the response to its caller once there is one.
+    std::shared_ptr<std::optional<net::Response>> start(const std::string& path, const std::string& id)
     {
-        net::Response response;
-        bool isDone = false;
-        auto run = [&]() -> awaitable<void> {
-            auto request = net::makeRequest(net::http::verb::get, path);
+        auto response = std::make_shared<std::optional<net::Response>>();
+        auto run = [this, response](std::string target, std::string requestId) -> awaitable<void> {
+            auto request = net::makeRequest(net::http::verb::get, target);
             request.set(net::http::field::host, "a");
-            request.set("X-Id", id);
-            response = co_await forwarder->handle(std::move(request), net::Cancellation::create());
-            isDone = true;
+            request.set("X-Id", requestId);
+            *response = co_await forwarder->handle(std::move(request), net::Cancellation::create());
         };
-        asio::co_spawn(context, run, asio::detached);
-        for (int n = 0; n < 400 && !isDone; ++n)
-            context.run_for(10ms);
-        REQUIRE(isDone);
+        asio::co_spawn(
+            context, [run, path, id] { return run(path, id); }, asio::detached);
         return response;
     }
 
+    /// Forwards a request and returns the response to its caller.
+    net::Response forward(const std::string& path, const std::string& id)
+    {
+        auto response = start(path, id);
+        for (int n = 0; n < 400 && !*response; ++n)
+            context.run_for(10ms);
+        REQUIRE(*response);
+        return **response;
+    }
+
     std::size_t arrivals(const std::string& id) const
     {
         return static_cast<std::size_t>(
@@ -239,6 +251,45 @@
     CHECK(fixture.arrivals("late") == 0);
 }
 
+TEST_CASE("a server gets no more time for a request than a shutdown leaves, so it can refuse in time what it queues")
+{
+    Fixture fixture([](const Received& request) { return success(request); });
+    auto now = monotonicNow();
+    fixture.forwarder->startShutdown({ now + 1s, now + 500ms, now + 600ms, now + 700ms });
+    CHECK(fixture.forward("/unsafe/1", "1").result_int() == 200);
+    REQUIRE(fixture.received.size() == 1);
+    CHECK(fixture.received[0].deadlineMs <= 500);
+    CHECK(fixture.received[0].deadlineMs > 100);
+}
+
+TEST_CASE("requests that have no response when a shutdown ends are answered then, whether they were sent or not")
+{
+    constexpr unsigned count = 12; // More than the server is sent at once.
+    Fixture fixture([](const Received&) { return std::string(); });
+    std::vector<std::shared_ptr<std::optional<net::Response>>> responses;
+    for (unsigned n = 0; n < count; ++n)
+        responses.push_back(fixture.start(n % 2 == 0 ? "/unsafe/1" : "/safe/1", std::to_string(n)));
+    fixture.context.run_for(100ms);
+    auto now = monotonicNow();
+    fixture.forwarder->startShutdown({ now, now, now, now });
+    fixture.forwarder->endShutdown();
+    fixture.context.run_for(100ms);
+    CHECK(fixture.forwarder->inFlight() == 0);
+    std::size_t refused = 0;
+    for (unsigned n = 0; n < count; ++n) {
+        CAPTURE(n);
+        REQUIRE(*responses[n]);
+        auto& response = **responses[n];
+        bool wasSent = fixture.arrivals(std::to_string(n)) > 0;
+        CHECK(response.result_int() == (wasSent ? 502 : 503));
+        if (!wasSent)
+            CHECK(response[net::http::field::retry_after] == "0.00");
+        refused += !wasSent;
+    }
+    CHECK(refused > 0);
+    CHECK(refused < count);
+}
+
 TEST_CASE("a server that says in a response that it is leaving gets no request after the drain window")
 {
     Fixture fixture([](const Received& request) { return success(request, "X-Leaving: 1\r\n"); });
