A leaving server whose expired entry returns gets no second drain window

Cause: ServerDirectory kept the start of a run's leaving only for the change from `draining` to `gone`; the change from `gone` back to `draining` set it anew, so the whole drain window was allowed once more.

Ruled out: a restart (same start), requests that had waited (sent 2.3 s and more after the first statement).

Fix: the earliest time since which a run has been leaving holds through every change of status except to `ready`; a new run starts without any.

--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -19,8 +19,8 @@
     m_missing.erase(entry.run.id);
     auto& server = m_servers[entry.run.id];
     if (isNewRun) {
+        server = {};
         server.listedAt = now;
-        server.hasSaidLeaving = false;
     }
     auto status = entry.draining || server.hasSaidLeaving ? ServerStatus::draining : ServerStatus::ready;
     if (isNewRun || server.status != status)
@@ -41,10 +41,9 @@
 
 void ServerDirectory::setStatus(KnownServer& server, ServerStatus status, TimePoint now, TimePoint changedAfter)
 {
-    // A draining server whose entry is removed has been leaving since it began to drain.
-    bool wasLeaving = server.status == ServerStatus::draining && status == ServerStatus::gone;
-    if (!wasLeaving)
-        server.leavingSince = std::min(now, changedAfter);
+    // A run that is leaving goes on doing so when its entry is removed, and when an expired entry returns as draining.
+    auto since = std::min(now, changedAfter);
+    server.leavingSince = server.status == ServerStatus::ready ? since : std::min(server.leavingSince, since);
     server.status = status;
     server.statusSince = now;
 }
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -468,6 +468,8 @@
             publishDesiredState(body["configure"].get<unsigned>(), body.value("timeoutMs", m_timeoutMs));
         if (body.contains("compact"))
             m_store.compact();
+        if (body.contains("expire"))
+            m_store.remove("servers/" + m_servers.at(body["expire"].get<std::size_t>()).id);
         if (body.contains("drain")) {
             auto& server = m_servers.at(body["drain"].get<std::size_t>());
             server.isDraining = true;
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -306,6 +306,44 @@
     checkNoViolations(results, record);
 }
 
+TEST_CASE("a leaving server whose expired entry returns as draining gets no requests later than its drain time")
+{
+    constexpr unsigned key = 5;
+    PlatformCluster cluster(optionsFor(31400));
+    REQUIRE(cluster.waitUntilServing());
+    std::vector<CallerResult> results { cluster.sendRequest(0, false, key) };
+    REQUIRE(results.front().status == 200);
+    auto leaving = serverOf(cluster.fetchRecord(), results.front().id);
+    // Without a controller, the server keeps its keys.
+    auto controller = cluster.findController();
+    REQUIRE(controller >= 0);
+    cluster.processes().signal(PlatformCluster::nameOf(static_cast<unsigned>(controller)), SIGKILL);
+    std::map<unsigned, std::set<std::string>> sentBy;
+    auto sendFor = [&](std::chrono::milliseconds time) {
+        auto end = std::chrono::steady_clock::now() + time;
+        for (unsigned n = 0; std::chrono::steady_clock::now() < end; ++n) {
+            auto daemon = n % daemons;
+            if (daemon == static_cast<unsigned>(controller))
+                continue;
+            results.push_back(cluster.sendRequest(daemon, n % 2 == 0, key));
+            sentBy[daemon].insert(results.back().id);
+        }
+    };
+    cluster.setFaults({ { "leaving", leaving } });
+    sendFor(500ms);
+    cluster.setFaults({ { "expire", leaving } });
+    sendFor(1800ms);
+    cluster.setFaults({ { "drain", leaving } });
+    sendFor(1500ms);
+    auto record = cluster.fetchRecord();
+    for (const auto& it : sentBy) {
+        auto arrivals = arrivalsAt(record, leaving, &it.second);
+        REQUIRE(!arrivals.empty());
+        CHECK(arrivals.back() - arrivals.front() <= 2000);
+    }
+    checkNoViolations(results, record);
+}
+
 TEST_CASE("a daemon sends no requests to a server that refused one until the time that the server named has passed")
 {
     constexpr unsigned key = 5;
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -136,6 +136,30 @@
     CHECK(directory.find("a")->status == ServerStatus::ready);
 }
 
+TEST_CASE("a server whose expired entry returns as draining has been leaving since it first said so")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    directory.update(entry, start, start);
+    CHECK(directory.noteLeaving(entry.run, start + 1s));
+    directory.remove("a", start + 3s, start + 3s);
+    entry.draining = true;
+    directory.update(entry, start + 4s, start + 4s);
+    CHECK(directory.find("a")->status == ServerStatus::draining);
+    CHECK(directory.find("a")->leavingSince == start + 1s);
+    // The same where only the store told of it.
+    directory.update(entryOf("b", 1), start, start);
+    directory.remove("b", start + 2s, start + 2s);
+    auto other = entryOf("b", 1);
+    other.draining = true;
+    directory.update(other, start + 4s, start + 4s);
+    CHECK(directory.find("b")->leavingSince == start + 2s);
+    // A new run of the server has a drain window of its own.
+    other.run.startedMs = 2;
+    directory.update(other, start + 9s, start + 9s);
+    CHECK(directory.find("b")->leavingSince == start + 9s);
+}
+
 TEST_CASE("an entry that lapses keeps no server in use that said that it is leaving")
 {
     auto directory = ServerDirectory::create({});
