A server that says that it is leaving while its entry is missing stays out of use

What callers would see (DRAIN): a server whose entry expired goes on serving in its drain window and says that it is leaving; an entry that returns as `ready` puts it back in use until it says so once more, and then for another drain window.

Evidence: the new case of test_server_directory ("after its entry expired") finds the server `ready` before the fix. Fix: the statement is kept for the run whatever its status.

--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -31,9 +31,11 @@
 bool ServerDirectory::noteLeaving(const ServerRun& run, TimePoint now)
 {
     auto it = m_servers.find(run.id);
-    if (it == m_servers.end() || it->second.entry.run != run || it->second.status != ServerStatus::ready)
+    if (it == m_servers.end() || it->second.entry.run != run)
         return false;
     it->second.hasSaidLeaving = true;
+    if (it->second.status != ServerStatus::ready)
+        return false;
     m_missing.erase(run.id);
     setStatus(it->second, ServerStatus::draining, now, now);
     return true;
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -175,3 +175,15 @@
     CHECK(directory.find("a")->status == ServerStatus::draining);
     CHECK(directory.find("a")->leavingSince == start + 2s);
 }
+
+TEST_CASE("a server that says that it is leaving after its entry expired is not ready when the entry returns")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    directory.update(entry, start, start);
+    directory.remove("a", start + 1s, start + 1s);
+    CHECK_FALSE(directory.noteLeaving(entry.run, start + 2s));
+    directory.update(entry, start + 3s, start + 3s);
+    CHECK(directory.find("a")->status == ServerStatus::draining);
+    CHECK(directory.find("a")->leavingSince == start + 1s);
+}
