An entry that tells late of a drain shortens the drain window

What callers would see (DRAIN): an instance hears first from the server that it is leaving, and then from the store, which acknowledged the drain earlier. It went on sending for the whole window since the server's statement.

Cause: ServerDirectory set the start of the drain only when the status changed, so the entry's earlier start was dropped.

Evidence: the new case of test_server_directory ("tells late of a drain") finds the window two seconds too long before the fix. Fix: a draining entry moves the start back, never forward.

--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -25,6 +25,8 @@
     auto status = entry.draining || server.hasSaidLeaving ? ServerStatus::draining : ServerStatus::ready;
     if (isNewRun || server.status != status)
         setStatus(server, status, now, changedAfter);
+    else if (entry.draining)
+        server.leavingSince = std::min({ server.leavingSince, now, changedAfter });
     server.entry = entry;
 }
 
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -187,3 +187,14 @@
     CHECK(directory.find("a")->status == ServerStatus::draining);
     CHECK(directory.find("a")->leavingSince == start + 1s);
 }
+
+TEST_CASE("an entry that tells late of a drain shortens the drain window that began with the server's own statement")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    directory.update(entry, start, start);
+    CHECK(directory.noteLeaving(entry.run, start + 4s));
+    entry.draining = true;
+    directory.update(entry, start + 5s, start + 2s);
+    CHECK(directory.find("a")->leavingSince == start + 2s);
+}
