A server's statement that it is leaving is kept for ten minutes after its entry is gone

What callers would see (DRAIN): a server that is cut off from the store for more than 30 s while it leaves gets requests again when its entry returns, for another drain window.

Cause: a server was erased 30 s after its entry was removed, and its statement with it; the returned entry counted as that of a server never seen.

Evidence: the new case of test_server_directory ("returns after a minute") finds the server `ready` before the fix. Fix: a server that said so is kept for ten minutes, others for 30 s as before.

--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -55,6 +55,8 @@
     struct Options {
         Duration lapseGrace = std::chrono::milliseconds(2200); ///< Time to rewrite lapsed entries after an outage.
         Duration forgetAfter = std::chrono::seconds(30); ///< Time until a gone server is erased.
+        /// The same for one that said that it is leaving: its entry may return while the process runs.
+        Duration forgetLeavingAfter = std::chrono::minutes(10);
     };
 
     static ServerDirectory create(Options options);
--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -91,7 +91,8 @@
         changed = true;
     }
     auto forgottenCount = std::erase_if(m_servers, [&](const auto& it) {
-        return it.second.status == ServerStatus::gone && now - it.second.statusSince > m_options.forgetAfter;
+        auto kept = it.second.hasSaidLeaving ? m_options.forgetLeavingAfter : m_options.forgetAfter;
+        return it.second.status == ServerStatus::gone && now - it.second.statusSince > kept;
     });
     return changed || forgottenCount > 0;
 }
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -198,3 +198,20 @@
     directory.update(entry, start + 5s, start + 2s);
     CHECK(directory.find("a")->leavingSince == start + 2s);
 }
+
+TEST_CASE("a server that said that it is leaving is not ready when its entry returns after a minute")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    directory.update(entry, start, start);
+    CHECK(directory.noteLeaving(entry.run, start + 1s));
+    directory.remove("a", start + 2s, start + 2s);
+    directory.expireEntries(start + 60s);
+    directory.update(entry, start + 61s, start + 61s);
+    CHECK(directory.find("a")->status == ServerStatus::draining);
+    CHECK(directory.find("a")->leavingSince == start + 1s);
+    // It is erased in the end.
+    directory.remove("a", start + 62s, start + 62s);
+    directory.expireEntries(start + 1h);
+    CHECK(directory.find("a") == nullptr);
+}
