The log tells when an answer of the store is dropped for its era

An answer that was under way while the store was restored is dropped, or treated like a compacted history; no line said so, so the reload that follows could not be explained from the log. Built, test_store_following and test_store_link pass.

--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -105,8 +105,12 @@
         co_return false;
     }
     // The answer was under way while the store was restored.
-    if (reply.delta.era < m_catalog.storeEra())
+    if (reply.delta.era < m_catalog.storeEra()) {
+        logEvent(LogLevel::warn, LogEvent::storeCallFailed,
+            { { "call", std::string(request.call) }, { "status", "answer of an earlier era" },
+                { "era", std::to_string(reply.delta.era) } });
         co_return false;
+    }
     logIfSlow(request, reply.delta.changes.size());
     m_catalog.updateStoreAvailability(m_freshness.confirmByStore(request.requestedAt));
     m_catalog.apply(std::move(reply.delta), "store", request.changedAfter);
@@ -145,8 +149,12 @@
 bool StoreFollower::applyChanges(ports::StoreReply reply, const ChangesRequest& request)
 {
     m_catalog.noteStoreEra(reply.delta.era);
-    if (reply.status == StoreStatus::done && reply.delta.era != request.era)
+    if (reply.status == StoreStatus::done && reply.delta.era != request.era) {
+        logEvent(LogLevel::warn, LogEvent::storeCallFailed,
+            { { "call", std::string(request.call) }, { "status", "answer of another era" },
+                { "era", std::to_string(reply.delta.era) } });
         reply.status = StoreStatus::compacted;
+    }
     // The whole store is watched, so every revision has a change. A response with a later revision but no change has
     // lost some, and is treated like a compacted history.
     bool hasSkippedChanges
