A request with ambiguous framing is refused, and none of its bytes run

Cause: the parser takes a message whose last coding is not `chunked` as one without a body; the session never compared the header with that. Equal lengths given twice, and codings of HTTP/1.0, were taken as well.

Fix: unless a request has at most one length of digits only, or `chunked` as its only coding, it is answered 400 before its body is read, and its connection is closed; event 406 gives the reason.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -102,6 +102,8 @@
             return "requestFailed";
         case LogEvent::requestRetried:
             return "requestRetried";
+        case LogEvent::requestMalformed:
+            return "requestMalformed";
         case LogEvent::linesDropped:
             return "linesDropped";
         }
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -50,6 +50,7 @@
     requestRefused = 403,
     requestFailed = 404,
     requestRetried = 405,
+    requestMalformed = 406,
     peerUnreachable = 501,
     rpcFailed = 502,
     permitUnanswered = 503,
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -97,6 +97,9 @@
     callers.address = m_settings.callersAddress;
     callers.maxConnections = m_settings.maxConnections;
     callers.handler = [this](net::Request request) { return m_ingress.handle(std::move(request)); };
+    callers.onMalformed = [](const std::string& reason) {
+        logEvent(LogLevel::warn, LogEvent::requestMalformed, { { "reason", reason } });
+    };
     auto callersServer = net::HttpServer::create(m_context, std::move(callers));
     if (!callersServer)
         return tl::make_unexpected(callersServer.error());
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -173,6 +173,9 @@
         return m_forwarder.handle(std::move(request), std::move(cancellation));
     };
     callers.limits = [this] { return callerLimits(); };
+    callers.onMalformed = [](const std::string& reason) {
+        logEvent(LogLevel::warn, LogEvent::requestMalformed, { { "reason", reason } });
+    };
     auto callerServer = net::HttpServer::create(m_context, std::move(callers));
     if (!callerServer)
         return tl::make_unexpected(callerServer.error());
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -175,6 +175,15 @@
     m_acceptsRequests = false;
     m_calls.push_back(std::move(call));
     m_responseReady.cancel();
+    if (m_server->m_options.onMalformed)
+        m_server->m_options.onMalformed(ec.message());
+}
+
+beast::error_code HttpSession::checkFraming(const http::request_header<>& header)
+{
+    if (!isFramingClear(header, header.version()))
+        return make_error_code(http::error::bad_transfer_encoding);
+    return {};
 }
 
 // Returns false if the connection has ended.
@@ -187,6 +196,8 @@
     beast::error_code ec;
     enterPhase(Phase::header);
     co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec)
+        ec = checkFraming(parser.get().base());
     bool wantsContinue = !ec && m_calls.empty() && headerOf(parser.get(), "Expect") == "100-continue";
     if (wantsContinue) {
         static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -1,5 +1,6 @@
 #include "net/http_types.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace acaciagauge::net {
@@ -45,6 +46,20 @@
     return request;
 }
 
+bool isFramingClear(const http::fields& header, unsigned version)
+{
+    auto lengths = header.count(http::field::content_length);
+    auto codings = header.count(http::field::transfer_encoding);
+    if (lengths + codings == 0)
+        return true;
+    if (lengths + codings > 1)
+        return false;
+    if (codings == 1)
+        return version == 11 && beast::iequals(header[http::field::transfer_encoding], "chunked");
+    auto length = header[http::field::content_length];
+    return !length.empty() && std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
 std::string percentDecode(std::string_view text)
 {
     std::string out;
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -39,6 +39,11 @@
     return it == message.end() ? std::string() : std::string(it->value());
 }
 
+/// @brief Checks that a header says clearly where the message ends: it has at most one length, or `chunked` as its only
+/// transfer coding. Recipients disagree on any other framing, and bytes of a body would pass for another message.
+/// @param version 10 for HTTP/1.0, 11 for HTTP/1.1
+bool isFramingClear(const http::fields& header, unsigned version);
+
 /// @brief Decodes the %XX sequences of a request target.
 std::string percentDecode(std::string_view text);
 
