A TRACE request with a body is refused instead of never answered

What callers saw: no answer until they gave up. Cause: Boost.Beast throws when a TRACE request with a body is prepared for the server, and the exception ended the handler without a response. Fix: such a request is refused with 400 when its header has been read; RFC 9110 (9.3.8) forbids it.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -179,10 +179,14 @@
         m_server->m_options.onMalformed(ec.message());
 }
 
-beast::error_code HttpSession::checkFraming(const http::request_header<>& header)
+beast::error_code HttpSession::checkFraming(const http::request_header<>& header, bool isChunked)
 {
     if (!isFramingClear(header, header.version()))
         return make_error_code(http::error::bad_transfer_encoding);
+    auto length = header[http::field::content_length];
+    bool hasBody = isChunked || (!length.empty() && length != "0");
+    if (header.method() == http::verb::trace && hasBody)
+        return make_error_code(http::error::unexpected_body);
     return {};
 }
 
@@ -197,7 +201,7 @@
     enterPhase(Phase::header);
     co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
-        ec = checkFraming(parser.get().base());
+        ec = checkFraming(parser.get().base(), parser.chunked());
     bool wantsContinue = !ec && m_calls.empty() && headerOf(parser.get(), "Expect") == "100-continue";
     if (wantsContinue) {
         static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -49,7 +49,7 @@
     HttpSession(std::shared_ptr<HttpServer> server, asio::ip::tcp::socket socket);
     asio::awaitable<void> readLoop();
     asio::awaitable<bool> readRequest();
-    static beast::error_code checkFraming(const http::request_header<>& header);
+    static beast::error_code checkFraming(const http::request_header<>& header, bool isChunked);
     asio::awaitable<bool> waitForFirstByte();
     asio::awaitable<void> waitForPipelineSlot();
     bool readAhead();
--- a/tests/test_http_framing.cpp
+++ b/tests/test_http_framing.cpp
@@ -136,6 +136,16 @@
     }
 }
 
+TEST_CASE("a TRACE request with a body is refused, not left without an answer")
+{
+    Fixture fixture;
+    CHECK(fixture.exchange(outerRequest("Content-Length: 2", "{}", "TRACE")).starts_with("HTTP/1.1 400"));
+    CHECK(fixture.exchange(outerRequest("Transfer-Encoding: chunked", chunked("{}"), "TRACE"))
+              .starts_with("HTTP/1.1 400"));
+    CHECK(fixture.handled.empty());
+    CHECK(fixture.exchange(outerRequest("Content-Length: 0", "", "TRACE")).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("whatever the framing, a request is refused or handled with the body that was sent, never with a part of it")
 {
     bool holds = rc::check("for any combination of framings", [] {
