A response with ambiguous framing is incomplete

What callers would see (MIXED): a server's response under an unknown transfer coding, or with two lengths, was relayed by what the parser made of it, with a body that is not the server's.

Cause: as for requests, the client never compared the header with the parser's reading. Fix: the same check ends the exchange when the header has been read, so the outcome is unknown (502 to the caller) and the connection is not used again.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -196,6 +196,8 @@
         while (!ec && !parser.is_done()) {
             co_await http::async_read_some(
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && parser.is_header_done() && !isFramingClear(parser.get(), parser.get().version()))
+                ec = make_error_code(http::error::bad_transfer_encoding);
             if (!ec && !parser.is_done() && Clock::now() >= deadline)
                 ec = beast::error::timeout;
         }
--- a/tests/test_http_framing.cpp
+++ b/tests/test_http_framing.cpp
@@ -180,3 +180,35 @@
     });
     CHECK(holds);
 }
+
+TEST_CASE("a response under another framing than one length, chunks or the end of the connection is incomplete")
+{
+    auto framing = GENERATE(as<std::string> {}, "Transfer-Encoding: gzip", "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: gzip, chunked",
+        "Content-Length: 2\r\nContent-Length: 2", "Transfer-Encoding: chunked\r\nContent-Length: 2");
+    CAPTURE(framing);
+    asio::io_context context;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string head;
+        boost::system::error_code ec;
+        co_await asio::async_read_until(
+            socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, ec));
+        auto text = "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, ec));
+    };
+    asio::co_spawn(context, serve, asio::detached);
+    HttpClient::Options options;
+    options.acceptCloseDelimited = true;
+    auto client = HttpClient::create(context, options);
+    Exchange exchange;
+    exchange.state = ExchangeState::answered;
+    auto call = [&]() -> asio::awaitable<void> {
+        auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        exchange = co_await client->exchange(address, makeRequest(http::verb::get, "/1"), 1s);
+    };
+    asio::co_spawn(context, call, asio::detached);
+    context.run_for(500ms);
+    CHECK(exchange.state == ExchangeState::incomplete);
+}
