--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -31,8 +31,8 @@
 /// @brief An HTTP/1.1 server on one Asio context.
 ///
 /// Pipelined requests of a connection run concurrently; their responses are sent in the order of the requests.
-/// Malformed or ambiguously framed requests, oversized headers and oversized bodies are answered with 400, 431 and 413 and close that
-/// connection only.
+/// Malformed or ambiguously framed requests, oversized headers and oversized bodies are answered with 400, 431 and 413
+/// and close that connection only.
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
 public:
     struct Options {
@@ -43,7 +43,8 @@
         std::chrono::seconds idleTimeout { 60 };
         Handler handler;
         CancellableHandler cancellableHandler; ///< If set, used instead of `handler`.
-        std::function<void(const std::string&)> onMalformed; ///< Called with the reason when a request is refused unread.
+        std::function<void(const std::string&)>
+            onMalformed; ///< Called with the reason when a request is refused unread.
         std::function<HttpServerLimits()> limits; ///< If set, replaces bodyLimit and idleTimeout; read at each use.
     };
 
