An entry that lacks a field of a server names no server

Cause: the decoder asked only for the fields in use and took defaults for the others, so the entry counted as that of a newer process at the address. Ruled out as the place to mend: the rule that a newer process at an address ends its predecessor, which the reuse of addresses needs.

One check of that file expected that a version that is a nested list is taken; the users' pages say that an entry with a field of another type names no server, and it expects the refusal now.

--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace acaciagauge;
@@ -97,7 +98,7 @@
     CHECK_FALSE(decode("i-1", nested));
     CHECK_FALSE(decode("i-1", std::string(depth, '[')));
     CHECK_FALSE(decode("i-1", withValue("\"concurrency\":2", "\"concurrency\":" + nested)));
-    CHECK(decode("i-1", withValue("\"version\":\"v1\"", "\"version\":" + nested)));
+    CHECK_FALSE(decode("i-1", withValue("\"version\":\"v1\"", "\"version\":" + nested)));
     for (const auto* it : { "1e300", "1e999", "-1", "18446744073709551616", "4294967298", "true" }) {
         CHECK_FALSE(decode("i-1", withValue("\"concurrency\":2", "\"concurrency\":" + std::string(it))));
         CHECK_FALSE(decode("i-1", withValue("\"warmup_left_ms\":250", "\"warmup_left_ms\":" + std::string(it))));
@@ -110,6 +111,24 @@
         CHECK_FALSE(decode("i-1", withValue(":8080", ":" + std::string(it))));
 }
 
+TEST_CASE("an entry that lacks a field of a server, or has one of another type, names no server")
+{
+    auto decode = platform::documentsPort().decodeServer;
+    auto field = GENERATE(as<std::string> {}, "/address", "/info", "/info/service", "/info/version", "/info/zone",
+        "/info/concurrency", "/status", "/status/state", "/status/sequence", "/status/warmup_left_ms");
+    CAPTURE(field);
+    auto pointer = nlohmann::json::json_pointer(field);
+    auto document = nlohmann::json::parse(server);
+    for (const auto* it : { "null", "true", "[]", "{}", "\"\"", "[2]" }) {
+        auto changed = document;
+        changed[pointer] = nlohmann::json::parse(it);
+        CAPTURE(it);
+        CHECK_FALSE(decode("i-1", changed.dump()));
+    }
+    document.at(pointer.parent_pointer()).erase(pointer.back());
+    CHECK_FALSE(decode("i-1", document.dump()));
+}
+
 TEST_CASE("a reported load is decoded only if it is complete")
 {
     auto parse = platform::requestDialect().parseLoad;
