Read the fourth figure of a server's load, and treat downloads as repeatable

Servers that share their machines name a fourth figure in their load header: how long work takes there at present. Such a header was refused as malformed, so instances knew nothing of the load of these servers, sent too much to full ones and refused work that others had capacity for. It is parsed now; the figure is kept for load balancing.

Routes of kind download were forwarded as not idempotent: a lost response was never retried.

test_platform_codec fails before for both.

--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -23,6 +23,7 @@
     std::string host;
     std::string prefix; ///< Begins and ends with a slash.
     bool idempotent = false;
+    bool hasLargeResponses = false; ///< Its responses are large compared to those of other routes.
     std::chrono::milliseconds timeout { 0 }; ///< Maximum time until a caller gets a response.
     std::chrono::milliseconds targetLatency { 0 }; ///< A response after this time is late.
     unsigned priority = 0; ///< 0 is the highest.
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -106,6 +106,7 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    double slowdown = 1; ///< How much longer than usual work takes on the server's machine at present.
 };
 
 /// @brief Names of the HTTP headers, and other conventions of HTTP traffic on the platform.
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -137,10 +137,37 @@
     CHECK(load->running == 3);
     CHECK(load->waiting == 1);
     CHECK(load->slots == 8);
-    for (const auto* text : { "", "3", "3,1", "3,1,", "3,1,8,", "3;1;8", "-1,0,0", "a,b,c" })
+    CHECK(load->slowdown == 1);
+    for (const auto* text :
+        { "", "3", "3,1", "3,1,", "3,1,8,", "3;1;8", "-1,0,0", "a,b,c", "3,1,8,0", "3,1,8,x", "3,1,8,100," })
         CHECK(!parse(text));
 }
 
+// Responses with a fourth figure were taken for responses without a load.
+TEST_CASE("a reported load is decoded with the slowdown of the server's machine")
+{
+    auto load = platform::requestDialect().parseLoad("2,4,2,290");
+    REQUIRE(load);
+    CHECK(load->running == 2);
+    CHECK(load->waiting == 4);
+    CHECK(load->slots == 2);
+    CHECK(load->slowdown == Approx(2.9));
+}
+
+// Downloads were forwarded as requests that must not be repeated.
+TEST_CASE("a download may be repeated, an upload may not")
+{
+    auto withKind = [](const std::string& kind) {
+        auto document = nlohmann::json::parse(configuration);
+        document["routes"]["rows"][1][3] = kind;
+        return *(*platform::documentsPort().decodeDesiredState(document.dump()))->match("a.example", "/y/1");
+    };
+    CHECK(withKind("download").idempotent);
+    CHECK(withKind("download").hasLargeResponses);
+    CHECK_FALSE(withKind("upload").idempotent);
+    CHECK_FALSE(withKind("upload").hasLargeResponses);
+}
+
 TEST_CASE("owner records round-trip through their encoding; overlapping ranges are refused")
 {
     bool holds = rc::check("owners", [] {
