A response with a status that HTTP does not define is malformed

Callers of a server in trouble that answered with status 000 waited until the route's timeout and got 504: the client took any status below 200 for an interim response and read on. Statuses above 599 were relayed as the server's response, and 101 was skipped although no request asks for an upgrade. Such a response now counts as bytes that are no response: the exchange is incomplete, the connection is closed, and the caller gets 502 at once, or a retry if the request may run again. The same holds for responses of the store.

test_request_forwarder "HTTP does not define" fails before for 000, 099, 101, 600 and 999.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,16 @@
     /// Interim responses and responses to other requests that are skipped before the connection is closed.
     constexpr int maxStrayResponses = 3;
 
+    // Boost.Beast accepts any three digits, but HTTP defines only the classes 1xx to 5xx. 101 answers an upgrade, and
+    // no request asks for one.
+    bool isStatusDefined(unsigned status)
+    {
+        constexpr unsigned firstStatus = 100;
+        constexpr unsigned lastStatus = 599;
+        constexpr unsigned switchingProtocols = 101;
+        return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+    }
+
     // A peer that lost its power or its network does not close its connections: only unacknowledged segments and
     // keep-alive probes reveal it.
     void setUserTimeout(tcp::socket& socket, std::chrono::milliseconds limit)
@@ -198,6 +208,8 @@
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
             if (!ec && parser.is_header_done() && !isFramingClear(parser.get(), parser.get().version()))
                 ec = make_error_code(http::error::bad_transfer_encoding);
+            if (!ec && parser.is_header_done() && !isStatusDefined(parser.get().result_int()))
+                ec = make_error_code(http::error::bad_status);
             if (!ec && !parser.is_done() && Clock::now() >= deadline)
                 ec = beast::error::timeout;
         }
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -236,6 +236,23 @@
     }
 }
 
+// Statuses below 100 were taken for interim responses, so that the caller got nothing until the route's timeout; those
+// above 599 were relayed.
+TEST_CASE("a response whose status HTTP does not define is no response, and its connection is not used again")
+{
+    auto status = GENERATE(as<std::string> {}, "000", "099", "101", "600", "999", "20", "2000");
+    CAPTURE(status);
+    Fixture fixture([&](const Received& request) {
+        return request.id == "1" ? responseTo(request, status + " X", "X-Signature: s\r\n") : success(request);
+    });
+    auto response = fixture.forward("/unsafe/1", "1");
+    CHECK(response.result_int() == 502);
+    CHECK(response.find("X-Signature") == response.end());
+    CHECK(fixture.arrivals("1") == 1);
+    CHECK(fixture.forward("/unsafe/1", "2").result_int() == 200);
+    CHECK(fixture.received.back().connection == 1);
+}
+
 TEST_CASE("a request that arrives late in a shutdown and could be cut is refused, and does not reach a server")
 {
     Fixture fixture([](const Received& request) { return success(request); });
