Evacuate a failure domain while its key exists in the store

Cause: there was no way to empty the servers of a failure domain; operators write op/evacuate/ZONE for that.

Change: the catalog keeps the evacuated domains and since when, counted from when the mirror was last known to be up to date. Their servers are not usable: keys are released with handover and granted elsewhere, and non-sharded services use other domains. An old owner may still serve a key for the limit ([evacuation] limit_ms) less the delivery margin; this is checked again before the first byte. A restored store that lacks the key ends the evacuation only after 60 s.

Tests: test_server_directory and test_key_ownership pass: in the simulation, 57 of 171 servers hold no keys 2.5 s after the key, or 5 s if the controller is lost midway.

--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -44,6 +44,10 @@
     TimePoint leavingSince; ///< If it is not ready: the earliest time at which it may have begun to shut down.
     TimePoint listedAt; ///< When this instance first saw this run.
     bool hasSaidLeaving = false; ///< This run said in a response that it is leaving.
+    std::optional<TimePoint> evacuatedSince; ///< Earliest time at which its domain's evacuation may have begun.
+
+    /// @brief Returns true if the server may get keys and new requests.
+    [[nodiscard]] bool isUsable() const { return status == ServerStatus::ready && !evacuatedSince; }
 };
 
 /// @brief Servers of all services, from their entries in the store.
@@ -73,6 +77,18 @@
     /// @return true if the server was regarded as ready
     bool noteLeaving(const ServerRun& run, TimePoint now);
 
+    /// @brief Records that a failure domain is evacuated: its present and future servers are not to be used.
+    /// @param changedAfter when the directory was last known to be up to date: the evacuation began later
+    /// @return false if it was evacuated already
+    bool startEvacuation(const DomainId& domain, TimePoint now, TimePoint changedAfter);
+
+    /// @brief Records that the evacuation of a domain has ended.
+    /// @return false if it was not evacuated
+    bool endEvacuation(const DomainId& domain);
+
+    /// @brief Returns the evacuated domains, each with the earliest time at which its evacuation may have begun.
+    [[nodiscard]] const std::map<DomainId, TimePoint>& evacuations() const { return m_evacuations; }
+
     /// @brief Records that the store does not respond.
     void noteStoreUnavailable() { m_isStoreUnavailable = true; }
 
@@ -109,6 +125,7 @@
 
     Options m_options;
     std::map<ServerId, KnownServer> m_servers;
+    std::map<DomainId, TimePoint> m_evacuations;
     std::map<ServerId, MissingEntry> m_missing; ///< Removed entries that may only have lapsed.
     bool m_isStoreUnavailable = false;
     TimePoint m_graceEnd;
--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -28,6 +28,31 @@
     else if (entry.draining)
         server.leavingSince = std::min({ server.leavingSince, now, changedAfter });
     server.entry = entry;
+    auto evacuation = m_evacuations.find(entry.domain);
+    server.evacuatedSince = evacuation == m_evacuations.end() ? std::nullopt : std::optional(evacuation->second);
+}
+
+bool ServerDirectory::startEvacuation(const DomainId& domain, TimePoint now, TimePoint changedAfter)
+{
+    auto evacuation = m_evacuations.emplace(domain, std::min(now, changedAfter));
+    if (!evacuation.second)
+        return false;
+    for (auto& it : m_servers) {
+        if (it.second.entry.domain == domain)
+            it.second.evacuatedSince = evacuation.first->second;
+    }
+    return true;
+}
+
+bool ServerDirectory::endEvacuation(const DomainId& domain)
+{
+    if (m_evacuations.erase(domain) == 0)
+        return false;
+    for (auto& it : m_servers) {
+        if (it.second.entry.domain == domain)
+            it.second.evacuatedSince.reset();
+    }
+    return true;
 }
 
 bool ServerDirectory::noteLeaving(const ServerRun& run, TimePoint now)
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -114,7 +114,7 @@
 const KnownServer* KeyAssigner::readyServer(const ServerRun& run) const
 {
     auto it = m_servers.find(run.id);
-    bool isUsable = it != m_servers.end() && it->second.entry.run == run && it->second.status == ServerStatus::ready;
+    bool isUsable = it != m_servers.end() && it->second.entry.run == run && it->second.isUsable();
     return isUsable ? &it->second : nullptr;
 }
 
@@ -354,7 +354,7 @@
         KeyPlacement::Server server;
         server.id = it.first;
         server.capacity = capacityOf(it.second, service);
-        server.isUsable = it.second.status == ServerStatus::ready;
+        server.isUsable = it.second.isUsable();
         server.isNew = !owners.contains(it.first);
         input.servers.push_back(server);
     }
@@ -485,7 +485,7 @@
 {
     auto isUsable = [&](const ServerId& id) {
         auto it = m_servers.find(id);
-        return it != m_servers.end() && it->second.status == ServerStatus::ready;
+        return it != m_servers.end() && it->second.isUsable();
     };
     if (range.target && !isUsable(*range.target))
         range.target.reset();
@@ -517,7 +517,7 @@
         applyEvent(range, RangeEvent::expired);
         return;
     }
-    logDecision(name, range, "release", "the server is draining or gone");
+    logDecision(name, range, "release", "the server is draining or gone, or its domain is evacuated");
     applyEvent(range, RangeEvent::moveAsked);
     range.nextOrderAt = now;
 }
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -78,6 +78,10 @@
             return "serverGone";
         case LogEvent::serverLimit:
             return "serverLimit";
+        case LogEvent::evacuationStarted:
+            return "evacuationStarted";
+        case LogEvent::evacuationEnded:
+            return "evacuationEnded";
         case LogEvent::permitUnanswered:
             return "permitUnanswered";
         case LogEvent::storeRelayed:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -36,6 +36,8 @@
     serverLeaving = 209,
     serverGone = 210,
     serverLimit = 211,
+    evacuationStarted = 212,
+    evacuationEnded = 213,
     storeUnavailable = 301,
     storeAvailable = 302,
     storeRelayed = 303,
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -218,6 +218,7 @@
         settings.serverHeartbeat = values.milliseconds("platform.heartbeat_ms");
         settings.keyGrantDuration = values.milliseconds("ownership.hold_ms");
         settings.serverDrainTime = values.milliseconds("leaving.server_drain_ms");
+        settings.evacuationLimit = values.milliseconds("evacuation.limit_ms");
         settings.terminationGracePeriod = values.seconds("leaving.grace_s");
         settings.retries.ratio = values.number("retry.ratio");
         settings.retries.allowance = values.number("retry.allowance");
@@ -257,6 +258,8 @@
         { "retry", "window_s", "10", 0.1, 600, "Window of the retry budget, in s." },
         { "leaving", "server_drain_ms", "2000", 0, 600000, "A leaving server gets no request later than this, in ms." },
         { "leaving", "grace_s", "6", 0.5, 600, "Time from SIGTERM to the end of this process, in s." },
+        { "evacuation", "limit_ms", "5000", 0, 600000,
+            "Servers of an evacuated domain get no request later than this, in ms; dialect users." },
         { "trace", "percent", "1", 0, 100,
             "Share of requests that are traced, in percent; a caller's sampled flag also counts." },
         { "log", "level", "info", 0, 0, "Least severe level that is logged: debug, info, warn or error." },
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -13,6 +13,10 @@
     /// Time in which members write their records again after the store was restored.
     constexpr auto memberReturnTime = std::chrono::seconds(3);
 
+    /// Time in which an operator writes an evacuation again that a restored store lacks. Without a limit, an operator
+    /// could not end it: a removal of a key that the store does not have is no change.
+    constexpr auto evacuationReturnTime = std::chrono::seconds(60);
+
 } // namespace
 
 Catalog::Catalog(boost::asio::io_context& context, ports::DocumentsPort documents)
@@ -95,6 +99,15 @@
         it = m_missingMembers.erase(it);
         isChanged = true;
     }
+    for (auto it = m_missingEvacuations.begin(); it != m_missingEvacuations.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        endEvacuation(it->first, std::to_string(m_mirror.revision()));
+        it = m_missingEvacuations.erase(it);
+        isChanged = true;
+    }
     if (isChanged)
         m_changed.notifyAll();
 }
@@ -104,6 +117,8 @@
     auto due = m_servers.nextDue();
     for (const auto& it : m_missingMembers)
         due = std::min(due.value_or(it.second), it.second);
+    for (const auto& it : m_missingEvacuations)
+        due = std::min(due.value_or(it.second), it.second);
     return due;
 }
 
@@ -114,6 +129,8 @@
         applyDesiredState(change);
     else if (key.starts_with(m_documents.serversPrefix))
         applyServer(change, monotonicNow());
+    else if (!m_documents.evacuationsPrefix.empty() && key.starts_with(m_documents.evacuationsPrefix))
+        applyEvacuation(change, monotonicNow());
     else if (key.starts_with(membersPrefix))
         applyMember(change);
     else if (key == controllerKey)
@@ -174,6 +191,36 @@
                 { "ageMs", m_changeAgeMs } });
 }
 
+void Catalog::applyEvacuation(const StoreChange& change, TimePoint now)
+{
+    auto domain = change.item.key.substr(m_documents.evacuationsPrefix.size());
+    if (domain.empty())
+        return;
+    auto revision = std::to_string(change.item.revision);
+    if (change.removed && m_isRestoring) {
+        // The copy is older than the evacuation; no operator ended it.
+        m_missingEvacuations.emplace(domain, now + evacuationReturnTime);
+        return;
+    }
+    m_missingEvacuations.erase(domain);
+    if (change.removed)
+        return endEvacuation(domain, revision);
+    if (!m_servers.startEvacuation(domain, now, m_changedAfter))
+        return;
+    logEvent(LogLevel::warn, LogEvent::evacuationStarted,
+        { { "domain", domain }, { "keys", std::to_string(keysOwnedIn(domain)) }, { "revision", revision },
+            { "source", m_source }, { "ageMs", m_changeAgeMs } });
+}
+
+void Catalog::endEvacuation(const DomainId& domain, const std::string& revision)
+{
+    if (!m_servers.endEvacuation(domain))
+        return;
+    logEvent(LogLevel::warn, LogEvent::evacuationEnded,
+        { { "domain", domain }, { "keys", std::to_string(keysOwnedIn(domain)) }, { "revision", revision },
+            { "source", m_source }, { "ageMs", m_changeAgeMs } });
+}
+
 void Catalog::applyMember(const StoreChange& change)
 {
     auto id = change.item.key.substr(std::string_view(membersPrefix).size());
@@ -227,11 +274,24 @@
     m_keys.set(id, std::move(*chunk));
 }
 
+std::size_t Catalog::keysOwnedIn(const DomainId& domain) const
+{
+    std::size_t count = 0;
+    for (const auto& chunk : m_keys.chunks()) {
+        for (const auto& it : chunk.second.owners) {
+            const auto* owner = m_servers.find(it.owner.id);
+            if (owner && owner->entry.domain == domain)
+                count += it.range.width();
+        }
+    }
+    return count;
+}
+
 std::vector<const KnownServer*> Catalog::readyServers(const ServiceName& service) const
 {
     std::vector<const KnownServer*> ready;
     for (const auto& it : m_servers.servers()) {
-        if (it.second.entry.service == service && it.second.status == ServerStatus::ready)
+        if (it.second.entry.service == service && it.second.isUsable())
             ready.push_back(&it.second);
     }
     return ready;
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -34,8 +34,8 @@
     /// @param source who heard it, for the log
     void noteLeaving(const ServerRun& run, std::string_view source);
 
-    /// @brief Removes servers and members whose entries vanished during a store outage, or when the store was restored,
-    /// and did not return in time.
+    /// @brief Removes servers, members and evacuations whose entries vanished during a store outage, or when the store
+    /// was restored, and did not return in time.
     void removeLapsed();
 
     /// @brief Returns when removeLapsed() has something to do next; nothing if there is nothing to remove.
@@ -63,13 +63,19 @@
     /// @brief Returns the condition that is notified after every change.
     [[nodiscard]] AsyncCondition& changed() { return m_changed; }
 
-    /// @brief Returns the ready servers of a service.
+    /// @brief Returns how many keys of all services servers of a failure domain own.
+    /// @complexity O(ranges)
+    [[nodiscard]] std::size_t keysOwnedIn(const DomainId& domain) const;
+
+    /// @brief Returns the servers of a service that are ready and not in an evacuated domain.
     [[nodiscard]] std::vector<const KnownServer*> readyServers(const ServiceName& service) const;
 
 private:
     void applyChange(const StoreChange& change);
     void applyDesiredState(const StoreChange& change);
     void applyServer(const StoreChange& change, TimePoint now);
+    void applyEvacuation(const StoreChange& change, TimePoint now);
+    void endEvacuation(const DomainId& domain, const std::string& revision);
     void applyMember(const StoreChange& change);
     void applyController(const StoreChange& change);
     void applyOwners(const ChunkId& id, const StoreChange& change);
@@ -88,6 +94,7 @@
     TimePoint m_storeEraSince;
     bool m_isRestoring = false; ///< The changes that are being applied replace those of an earlier era.
     std::map<InstanceId, TimePoint> m_missingMembers; ///< Until when members that the restored store lacks are kept.
+    std::map<DomainId, TimePoint> m_missingEvacuations; ///< The same for evacuations.
     std::string m_source; ///< Source of the changes that are being applied.
     TimePoint m_changedAfter; ///< Lower bound of the time of the changes that are being applied.
     std::string m_changeAgeMs; ///< Time since m_changedAfter in ms, for the log; empty if unknown.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -128,6 +128,7 @@
     options.domain = m_settings.domain;
     options.defaultDeadline = m_settings.defaultDeadline;
     options.drainWindow = std::max(std::chrono::milliseconds(0), m_settings.serverDrainTime - deliveryMargin);
+    options.evacuationWindow = std::max(std::chrono::milliseconds(0), m_settings.evacuationLimit - deliveryMargin);
     options.retries = m_settings.retries;
     // The remaining quarter is for connections in use.
     options.maxIdleConnections = connectionShare(m_settings) * 3 / 4;
@@ -266,6 +267,9 @@
         { "servers", m_catalog.servers().servers().size() }, { "inFlight", m_forwarder.inFlight() },
         { "isController", m_controller.isController() } };
     body["version"] = m_catalog.desiredState() ? nlohmann::json(m_catalog.desiredState()->version()) : nullptr;
+    body["evacuations"] = nlohmann::json::object();
+    for (const auto& it : m_catalog.servers().evacuations())
+        body["evacuations"][it.first] = m_catalog.keysOwnedIn(it.first);
     body["controller"] = controller ? nlohmann::json { { "id", controller->id }, { "epoch", controller->epoch } }
                                     : nlohmann::json(nullptr);
     return net::makeResponse(200, body.dump());
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -272,6 +272,11 @@
         mayChangeSoon = monotonicNow() - server->leavingSince < maxHandoverTime;
         return nullptr;
     }
+    if (isPastEvacuationWindow(*server)) {
+        reason = "owner " + owner->owner.id + " is in an evacuated domain";
+        mayChangeSoon = true;
+        return nullptr;
+    }
     return server;
 }
 
@@ -280,11 +285,17 @@
     return server.status != ServerStatus::ready && monotonicNow() - server.leavingSince > m_options.drainWindow;
 }
 
+bool RequestForwarder::isPastEvacuationWindow(const KnownServer& server) const
+{
+    return server.evacuatedSince && monotonicNow() - *server.evacuatedSince > m_options.evacuationWindow;
+}
+
 // The server may have left or restarted while the request waited for admission or for a connection.
 bool RequestForwarder::mayBeSentTo(const ServerRun& run) const
 {
     const auto* server = m_catalog.servers().find(run.id);
-    return server && server->entry.run == run && !isPastDrainWindow(*server) && !m_upstreams.isPaused(run.id);
+    return server && server->entry.run == run && !isPastDrainWindow(*server) && !isPastEvacuationWindow(*server)
+        && !m_upstreams.isPaused(run.id);
 }
 
 // Returns null and sets pending.cause if no server becomes available in time.
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -12,6 +12,7 @@
         DomainId domain; ///< Failure domain of this instance.
         std::chrono::milliseconds defaultDeadline { 2000 }; ///< For requests without a deadline header.
         std::chrono::milliseconds drainWindow { 1300 }; ///< A draining or gone owner still gets requests this long.
+        std::chrono::milliseconds evacuationWindow { 4300 }; ///< The same for an owner in an evacuated domain.
         RetryShare::Options retries;
         std::size_t maxIdleConnections = 1024; ///< In total, to all servers.
     };
@@ -87,6 +88,7 @@
     [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
     boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
     [[nodiscard]] bool isPastDrainWindow(const KnownServer& server) const;
+    [[nodiscard]] bool isPastEvacuationWindow(const KnownServer& server) const;
     [[nodiscard]] bool mayBeSentTo(const ServerRun& run) const;
     boost::asio::awaitable<SendResult> send(PendingRequest& pending, KnownServer server, std::uint64_t workId);
     net::Request buildRequest(const PendingRequest& pending, const KnownServer& server) const;
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -97,6 +97,7 @@
 struct DocumentsPort {
     std::string configurationKey; ///< Key of the operators' desired state.
     std::string serversPrefix; ///< Each server has a key: this prefix and its id.
+    std::string evacuationsPrefix; ///< Each evacuated failure domain has a key: this prefix and its name.
     std::function<Result<std::shared_ptr<const DesiredState>>(std::string_view text)> decodeDesiredState;
     std::function<Result<ServerEntry>(const ServerId& id, std::string_view text)> decodeServer;
 };
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -102,6 +102,8 @@
             : it.entry.draining    ? ServerStatus::draining
                                    : ServerStatus::ready;
         changed.servers.push_back({ it.entry, status, m_now, m_now });
+        if (it.isEvacuated)
+            changed.servers.back().evacuatedSince = m_now;
     }
     sendEvent(changed);
 }
@@ -336,6 +338,13 @@
     sendServers();
 }
 
+void KeyOwnershipSimulation::setEvacuated(std::size_t firstServer, std::size_t endServer, bool evacuated)
+{
+    for (auto n = firstServer; n < endServer; ++n)
+        m_servers[n].isEvacuated = evacuated;
+    sendServers();
+}
+
 void KeyOwnershipSimulation::setListed(std::size_t n, bool listed)
 {
     m_servers[n].isListed = listed;
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -36,6 +36,7 @@
     void restart(std::size_t n); ///< The process ends and starts again under its id.
     void reuseAddress(std::size_t n); ///< The process ends; another server starts at its address.
     void setDraining(std::size_t n, bool draining);
+    void setEvacuated(std::size_t firstServer, std::size_t endServer, bool evacuated);
     /// The server keeps serving, but controllers cannot reach it.
     void setUnreachable(std::size_t n, bool unreachable) { m_servers[n].isUnreachable = unreachable; }
     void setListed(std::size_t n, bool listed);
@@ -89,6 +90,7 @@
         bool isUp = true;
         bool isUnreachable = false;
         bool isListed = true;
+        bool isEvacuated = false;
         std::int64_t processNumber = 0; ///< Identifies the process; its entry changes later.
         double clockRate = 1; ///< Seconds of real time in one second of its clock.
         std::map<KeyNumber, HeldGrant> held;
--- a/tests/test_key_ownership.cpp
+++ b/tests/test_key_ownership.cpp
@@ -131,6 +131,44 @@
     CHECK(simulation.holder(0) != owner);
 }
 
+TEST_CASE("a third of 171 servers is emptied well within five seconds, also if the controller is lost midway")
+{
+    auto isControllerLost = GENERATE(false, true);
+    CAPTURE(isControllerLost);
+    constexpr std::size_t servers = 171;
+    constexpr std::size_t evacuated = 57;
+    KeyOwnershipSimulation::Options options;
+    options.servers = servers;
+    KeyOwnershipSimulation simulation(options);
+    simulation.run(4s);
+    for (KeyNumber key = 0; key <= lastKey; key += 16)
+        simulation.reportLoad(key, 1);
+    simulation.run(4s);
+    REQUIRE(simulation.servedKeyCount() == simulation.sampledKeyCount());
+    auto keysInDomain = [&] {
+        std::size_t count = 0;
+        for (std::size_t n = 0; n < simulation.sampledKeyCount(); ++n) {
+            auto holder = simulation.holder(simulation.sampledKey(n));
+            count += holder && std::stoul(holder->substr(1)) < evacuated;
+        }
+        return count;
+    };
+    REQUIRE(keysInDomain() > 0);
+    simulation.setEvacuated(0, evacuated, true);
+    if (isControllerLost) {
+        simulation.run(200ms);
+        simulation.killController();
+    }
+    // A successor is elected when the lease of 3 s has expired.
+    simulation.run(isControllerLost ? 5000ms : 2500ms);
+    CHECK(simulation.violation() == "");
+    CHECK(keysInDomain() == 0);
+    CHECK(simulation.servedKeyCount() == simulation.sampledKeyCount());
+    simulation.setEvacuated(0, evacuated, false);
+    simulation.run(10s);
+    CHECK(keysInDomain() > 0);
+}
+
 TEST_CASE("grants outlast the loss of the controller and a store outage of eight seconds")
 {
     auto simulation = settledSimulation();
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -66,12 +66,15 @@
             co_return PermitReply { true, 0ms };
         };
         hooks.metrics = metrics.get();
-        forwarder = std::make_unique<RequestForwarder>(
-            context, RequestForwarder::Options {}, dialect(), catalog, std::move(hooks));
+        RequestForwarder::Options options;
+        options.evacuationWindow = evacuationWindow;
+        forwarder = std::make_unique<RequestForwarder>(context, options, dialect(), catalog, std::move(hooks));
         listServer(1);
         asio::co_spawn(context, acceptLoop(), asio::detached);
     }
 
+    static constexpr auto evacuationWindow = 500ms;
+
     static ports::RequestDialect dialect()
     {
         ports::RequestDialect dialect;
@@ -98,6 +101,7 @@
         ports::DocumentsPort documents;
         documents.configurationKey = "configuration";
         documents.serversPrefix = "servers/";
+        documents.evacuationsPrefix = "evacuate/";
         documents.decodeDesiredState = [](std::string_view) -> Result<std::shared_ptr<const DesiredState>> {
             RouteConfig safe;
             safe.name = "safe";
@@ -112,7 +116,13 @@
             unsafe.name = "unsafe";
             unsafe.prefix = "/unsafe/";
             unsafe.idempotent = false;
-            return DesiredState::create(1, { safe, unsafe }, { { "service", { "service", {}, 0, false, 0ms } } }, {});
+            auto keyed = unsafe;
+            keyed.name = "keyed";
+            keyed.prefix = "/keyed/";
+            keyed.services = { { "sharded", 1 } };
+            return DesiredState::create(1, { safe, unsafe, keyed },
+                { { "service", { "service", {}, 0, false, 0ms } }, { "sharded", { "sharded", {}, 0, true, 0ms } } },
+                {});
         };
         documents.decodeServer = [this](const ServerId& id, std::string_view text) -> Result<ServerEntry> {
             ServerEntry entry;
@@ -120,6 +130,7 @@
             entry.service = "service";
             entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
             entry.slots = 4;
+            entry.domain = "d1";
             return entry;
         };
         return documents;
@@ -129,12 +140,37 @@
     void listServer(int startedMs)
     {
         ++revision;
-        StoreDelta delta { revision, false, {}, std::nullopt };
+        StoreDelta delta { revision, false, {}, std::nullopt, 1 };
         delta.changes.push_back({ { "configuration", "1", revision }, false });
         delta.changes.push_back({ { "servers/s", std::to_string(startedMs), revision }, false });
         catalog.apply(std::move(delta), "watch", monotonicNow());
     }
 
+    /// Records the server as the owner of all keys of the first chunk.
+    void listOwner()
+    {
+        ++revision;
+        StoreDelta delta { revision, false, {}, std::nullopt, 1 };
+        auto owners = encodeOwnerChunk({ 1, { { { 0, keysPerChunk - 1 }, { "s", 1 } } } });
+        delta.changes.push_back({ { ownersKey({ "sharded", 0 }), owners, revision }, false });
+        catalog.apply(std::move(delta), "watch", monotonicNow());
+    }
+
+    /// Writes or removes the key of an evacuated domain, or replaces the mirror by a restored store without it.
+    void setEvacuated(bool evacuated, bool isRestore = false)
+    {
+        ++revision;
+        era += isRestore;
+        StoreDelta delta { revision, isRestore, {}, std::nullopt, era };
+        delta.changes.push_back({ { "evacuate/d1", "", revision }, !evacuated });
+        if (isRestore) {
+            delta.changes.clear();
+            delta.changes.push_back({ { "configuration", "1", revision }, false });
+            delta.changes.push_back({ { "servers/s", "1", revision }, false });
+        }
+        catalog.apply(std::move(delta), "watch", monotonicNow());
+    }
+
     awaitable<void> acceptLoop()
     {
         for (unsigned n = 0; true; ++n) {
@@ -170,6 +206,7 @@
             auto request = net::makeRequest(net::http::verb::get, target);
             request.set(net::http::field::host, "a");
             request.set("X-Id", requestId);
+            request.set("X-Key", "1");
             *response = co_await forwarder->handle(std::move(request), net::Cancellation::create());
         };
         asio::co_spawn(
@@ -200,6 +237,7 @@
     std::vector<Received> received;
     std::vector<PermitRequest> permitRequests;
     Revision revision = 0;
+    StoreEra era = 1;
     Catalog catalog { context, documents() };
     std::unique_ptr<daemon::Metrics> metrics = daemon::Metrics::create();
     std::unique_ptr<RequestForwarder> forwarder;
@@ -335,3 +373,36 @@
     fixture.forward("/safe/1", "last");
     CHECK(fixture.permitRequests.size() == 2);
 }
+
+TEST_CASE("a service whose servers are all in evacuated domains refuses until an evacuation ends, even if the store is "
+          "restored meanwhile")
+{
+    Fixture fixture([](const Received& request) { return success(request); });
+    fixture.setEvacuated(true);
+    auto response = fixture.forward("/unsafe/1", "first");
+    CHECK(response.result_int() == 503);
+    CHECK(response.find(net::http::field::retry_after) != response.end());
+    fixture.setEvacuated(true, true);
+    CHECK(fixture.forward("/unsafe/1", "restored").result_int() == 503);
+    REQUIRE(fixture.catalog.nextRemoval());
+    fixture.setEvacuated(true);
+    CHECK_FALSE(fixture.catalog.nextRemoval());
+    fixture.setEvacuated(false);
+    CHECK(fixture.forward("/unsafe/1", "ended").result_int() == 200);
+    CHECK(fixture.received.size() == 1);
+}
+
+TEST_CASE("an owner in an evacuated domain gets requests only until the window ends")
+{
+    Fixture fixture([](const Received& request) { return success(request); });
+    fixture.listOwner();
+    fixture.setEvacuated(true);
+    CHECK(fixture.forward("/keyed/1", "in the window").result_int() == 200);
+    fixture.context.run_for(Fixture::evacuationWindow);
+    auto response = fixture.forward("/keyed/1", "late");
+    CHECK(response.result_int() == 503);
+    CHECK(response.find(net::http::field::retry_after) != response.end());
+    CHECK(fixture.arrivals("late") == 0);
+    fixture.setEvacuated(false);
+    CHECK(fixture.forward("/keyed/1", "ended").result_int() == 200);
+}
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -48,6 +48,30 @@
     CHECK(!directory.nextDue());
 }
 
+TEST_CASE("servers of an evacuated domain are not usable, nor are those that start there, until the evacuation ends")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    entry.domain = "d1";
+    directory.update(entry, start, start);
+    entry.run.id = "b";
+    entry.domain = "d2";
+    directory.update(entry, start, start);
+    CHECK(directory.startEvacuation("d1", start + 5s, start + 3s));
+    CHECK_FALSE(directory.startEvacuation("d1", start + 9s, start + 9s));
+    CHECK_FALSE(directory.find("a")->isUsable());
+    // The key may have been written as early as the directory was last known to be up to date.
+    CHECK(directory.find("a")->evacuatedSince == start + 3s);
+    CHECK(directory.find("b")->isUsable());
+    entry.run = { "a", 2 };
+    entry.domain = "d1";
+    directory.update(entry, start + 10s, start + 10s);
+    CHECK(directory.find("a")->evacuatedSince == start + 3s);
+    CHECK(directory.endEvacuation("d1"));
+    CHECK_FALSE(directory.endEvacuation("d1"));
+    CHECK(directory.find("a")->isUsable());
+}
+
 TEST_CASE("a draining server whose entry is removed is gone at once, even during a store outage")
 {
     auto directory = ServerDirectory::create({});
