--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,7 @@
     unsigned maxConnections = 0; ///< To one server, from all instances; 0: not configured.
     bool isSharded = false; ///< Each key is owned by one server.
     std::chrono::milliseconds warmUp { 0 }; ///< Time for which a key that arrives without a handover is slow.
+    std::optional<double> warmupPerSecond; ///< Requests per second that a cold server takes; nothing: no limit.
 };
 
 /// @brief Bounds on what callers may send.
