--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -6,6 +6,7 @@
 #include "acaciagauge/detail/admission/concurrency_limiter.hpp"
 #include "acaciagauge/detail/admission/rate_permits.hpp"
 #include "acaciagauge/detail/admission/server_queue.hpp"
+#include "acaciagauge/detail/admission/shared_admission.hpp"
 #include "acaciagauge/detail/assignment/domain_record.hpp"
 #include "acaciagauge/detail/assignment/home_assigner.hpp"
 #include "acaciagauge/detail/assignment/home_map.hpp"
--- a/include/acaciagauge/detail/keyspace/partition.hpp
+++ b/include/acaciagauge/detail/keyspace/partition.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/detail/common/ids.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <vector>
 
@@ -20,4 +21,11 @@
 /// @complexity O(n log n) for n candidates
 std::vector<std::string> rendezvousOrder(std::string_view subject, std::vector<std::string> candidates);
 
+/// @brief Orders candidates by weighted rendezvous hash: each is first for a part of all subjects in proportion to its
+/// weight, and a change of one candidate moves only the subjects that it gains or loses.
+/// @param weights by candidate; a weight below 0.001 counts as 0.001
+/// @complexity O(n log n) for n candidates
+std::vector<std::string> weightedRendezvousOrder(
+    std::string_view subject, const std::map<std::string, double>& weights);
+
 } // namespace acaciagauge
--- a/src/core/keyspace/partition.cpp
+++ b/src/core/keyspace/partition.cpp
@@ -1,6 +1,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 
 #include <algorithm>
+#include <cmath>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -32,4 +33,22 @@
     return ordered;
 }
 
+std::vector<std::string> weightedRendezvousOrder(std::string_view subject, const std::map<std::string, double>& weights)
+{
+    constexpr double minWeight = 0.001;
+    std::vector<std::pair<double, std::string>> scored;
+    scored.reserve(weights.size());
+    for (const auto& it : weights) {
+        // In (0, 1); 53 bits are exact as a double.
+        auto uniform = (static_cast<double>(hashOf(subject, it.first) >> 11U) + 0.5) * 0x1p-53;
+        scored.emplace_back(-std::log(uniform) / std::max(minWeight, it.second), it.first);
+    }
+    std::sort(scored.begin(), scored.end());
+    std::vector<std::string> ordered;
+    ordered.reserve(scored.size());
+    for (auto& it : scored)
+        ordered.push_back(std::move(it.second));
+    return ordered;
+}
+
 } // namespace acaciagauge
