Admit requests by coordinators where the desired state calls for it

Admission asks the coordinator of a server, or of a service's servers in the own domain, by the RPC admit, and tells it by admissionEnded how the request ended. Without an answer the instance decides by its own limiters, as before. Setting [balancing] coordination; auto: on with a limit for cold servers or a route with large responses. Events 504 and 505; metrics acaciagauge_admissions_total and acaciagauge_admission_queue.

--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -67,6 +67,10 @@
     /// @brief Finds a service; null if it is not configured.
     [[nodiscard]] const ServiceConfig* service(const ServiceName& name) const;
 
+    /// @brief Returns true if demand may exceed capacity or is uneven, so that one instance should admit the requests
+    /// of all to a server: a service limits the rate to cold servers, or a route has large responses.
+    [[nodiscard]] bool callsForCoordination() const { return m_callsForCoordination; }
+
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::map<ServiceName, ServiceConfig>& services() const { return m_services; }
     [[nodiscard]] const CallerLimits& limits() const { return m_limits; }
@@ -77,6 +81,7 @@
 
     std::uint64_t m_version = 0;
     std::size_t m_routeCount = 0;
+    bool m_callsForCoordination = false;
     std::map<std::string, std::vector<RouteConfig>, std::less<>> m_routes; ///< By host, longest prefix first.
     std::map<ServiceName, ServiceConfig> m_services;
     CallerLimits m_limits;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -172,6 +172,14 @@
   maxWaitMicros @2 :UInt64;
 }
 
+enum AdmissionEnd {
+  ran @0;
+  shed @1;
+  notSent @2;
+  unreachable @3;
+  other @4;
+}
+
 interface Peer {
   control @0 (message :ControlMessage) -> ();
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
@@ -188,4 +196,14 @@
   # Asks for the permission to send one request to a server that limits its rate. waitMicros says when to send it, or if
   # it is not granted, when the next one could be sent.
   permit @6 (request :PermitRequest) -> (isGranted :Bool, waitMicros :UInt64);
+  # Asks the coordinator of a server, or of a service's servers in a failure domain, to admit one request; answered when
+  # the request may be sent or is refused. subject is the server, or the service if domain is not empty. Times are from
+  # now; a negative time to the target counts as 0. retryAfterMillis says when a refused request would be served.
+  admit @7 (subject :Text, domain :Text, priority :UInt8, targetMillis :UInt32, deadlineMillis :UInt32,
+      waitMillis :UInt32, avoided :List(Text))
+    -> (isAdmitted :Bool, server :Text, workId :UInt64, retryAfterMillis :UInt32);
+  # Ends an admission. Load is the number of requests running and waiting at the server, plus 1; 0 if it is not known.
+  # slowdownPercent: 0 if it is not known.
+  admissionEnded @8 (server :Text, workId :UInt64, end :AdmissionEnd, responseMicros :UInt32, load :UInt16,
+      slowdownPercent :UInt16, retryAfterMillis :UInt32) -> ();
 }
--- a/src/core/config/desired_state.cpp
+++ b/src/core/config/desired_state.cpp
@@ -21,6 +21,10 @@
     std::shared_ptr<DesiredState> state(new DesiredState());
     state->m_version = version;
     state->m_routeCount = routes.size();
+    state->m_callsForCoordination
+        = std::any_of(routes.begin(), routes.end(), [](const auto& it) { return it.hasLargeResponses; })
+        || std::any_of(
+            services.begin(), services.end(), [](const auto& it) { return it.second.warmupPerSecond.has_value(); });
     for (auto& it : routes)
         state->m_routes[normalizedHost(it.host)].push_back(std::move(it));
     for (auto& it : state->m_routes)
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -80,6 +80,10 @@
             return "serverLimit";
         case LogEvent::permitUnanswered:
             return "permitUnanswered";
+        case LogEvent::coordinatorUnanswered:
+            return "coordinatorUnanswered";
+        case LogEvent::coordinationChanged:
+            return "coordinationChanged";
         case LogEvent::storeRelayed:
             return "storeRelayed";
         case LogEvent::storeSource:
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -54,6 +54,8 @@
     peerUnreachable = 501,
     rpcFailed = 502,
     permitUnanswered = 503,
+    coordinatorUnanswered = 504,
+    coordinationChanged = 505,
     linesDropped = 901,
 };
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -45,6 +45,16 @@
                             .Register(registry)
                             .Add({}, latencyBuckets);
     m_retries = &addCounter(registry, "acaciagauge_retries_total", "Retries of requests");
+    auto& admissions = prometheus::BuildCounter()
+                           .Name("acaciagauge_admissions_total")
+                           .Help("Requests for admission by a coordinator, by step")
+                           .Register(registry);
+    m_admissions[AdmissionStep::asked] = &admissions.Add({ { "step", "asked" } });
+    m_admissions[AdmissionStep::granted] = &admissions.Add({ { "step", "granted" } });
+    m_admissions[AdmissionStep::refused] = &admissions.Add({ { "step", "refused" } });
+    m_admissions[AdmissionStep::fallback] = &admissions.Add({ { "step", "fallback" } });
+    m_admissionQueue
+        = &addGauge(registry, "acaciagauge_admission_queue", "Requests that wait for an admission by this instance");
     m_waiting = &addGaugeFamily(registry, "acaciagauge_queue_waiting", "Requests waiting for a server");
     m_inFlight = &addGaugeFamily(registry, "acaciagauge_queue_in_flight", "Requests in flight to a server");
     m_servers = &addGaugeFamily(
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -10,6 +10,14 @@
 
 namespace acaciagauge::daemon {
 
+/// @brief Step of a request's admission by a coordinator, as seen by the instance that asks.
+enum class AdmissionStep {
+    asked,
+    granted,
+    refused,
+    fallback, ///< The coordinator did not answer.
+};
+
 /// @brief The daemon's metrics, served as Prometheus text.
 class Metrics {
 public:
@@ -21,6 +29,12 @@
     /// @brief Counts a retry of a request.
     void countRetry() { m_retries->Increment(); }
 
+    /// @brief Counts a step of a request's admission.
+    void countAdmission(AdmissionStep step) { m_admissions.at(step)->Increment(); }
+
+    /// @brief Sets how many requests of all instances wait for an admission by this one.
+    void setAdmissionQueue(std::size_t waiting) { m_admissionQueue->Set(static_cast<double>(waiting)); }
+
     /// @brief Sets how many requests wait for a server and how many are in flight to it.
     void setQueue(const ServerId& server, std::size_t waiting, std::size_t inFlight);
 
@@ -48,6 +62,8 @@
     std::map<Outcome, prometheus::Counter*> m_requests;
     prometheus::Histogram* m_requestSeconds;
     prometheus::Counter* m_retries;
+    std::map<AdmissionStep, prometheus::Counter*> m_admissions;
+    prometheus::Gauge* m_admissionQueue;
     prometheus::Family<prometheus::Gauge>* m_waiting;
     prometheus::Family<prometheus::Gauge>* m_inFlight;
     prometheus::Family<prometheus::Gauge>* m_servers;
--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -26,6 +26,9 @@
     /// Longer than an instance stands still whose processor time for a tenth of a second is used up: a peer that does
     /// not answer in time is not asked again for a while, and two instances then hold a server's permits.
     constexpr auto permitTimeout = 300 * kj::MILLISECONDS;
+    /// Added to the longest wait for an admission. The instance that asks gives up earlier; only a connection that
+    /// carries nothing any more is closed after this time, as other requests use it.
+    constexpr auto admitSlack = 2 * kj::SECONDS;
     constexpr auto forwardSlack = 20 * kj::MILLISECONDS;
 
     std::string textOf(const kj::Exception& exception)
@@ -131,6 +134,30 @@
             });
         }
 
+        kj::Promise<void> admit(AdmitContext context) override
+        {
+            // If the peer does not wait any more when the request is admitted, the admission ends at once.
+            auto paf = kj::newPromiseAndFulfiller<AdmissionReply>();
+            auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<AdmissionReply>>>(kj::mv(paf.fulfiller));
+            auto& loop = m_loop;
+            loop.hooks.onAdmit(fromWire(context.getParams()), [&loop, fulfiller](AdmissionReply reply) {
+                loop.post([&loop, fulfiller, reply = std::move(reply)]() mutable {
+                    if ((*fulfiller)->isWaiting())
+                        (*fulfiller)->fulfill(std::move(reply));
+                    else if (reply.isAdmitted)
+                        loop.hooks.onAdmissionEnded({ reply.server, reply.workId, {} });
+                });
+            });
+            context.releaseParams();
+            return paf.promise.then([context](AdmissionReply reply) mutable { toWire(reply, context.getResults()); });
+        }
+
+        kj::Promise<void> admissionEnded(AdmissionEndedContext context) override
+        {
+            m_loop.hooks.onAdmissionEnded(fromWire(context.getParams()));
+            return kj::READY_NOW;
+        }
+
     private:
         Loop& m_loop;
     };
@@ -400,6 +427,28 @@
         request<PermitReply>(address, permitTimeout, send, std::move(done));
     }
 
+    void sendAdmit(
+        const std::string& address, const AdmissionCall& call, std::function<void(std::optional<AdmissionReply>)> done)
+    {
+        auto send = [call](wire::Peer::Client& peer) {
+            auto out = peer.admitRequest();
+            toWire(call, out);
+            return out.send().then(
+                [](capnp::Response<wire::Peer::AdmitResults>&& results) { return fromWire(results); });
+        };
+        request<AdmissionReply>(address, call.maxWait.count() * kj::MICROSECONDS + admitSlack, send, std::move(done));
+    }
+
+    void sendAdmissionEnded(const std::string& address, const AdmissionNotice& notice)
+    {
+        auto fill = [notice](wire::Peer::Client& peer) {
+            auto call = peer.admissionEndedRequest();
+            toWire(notice, call);
+            return call;
+        };
+        deliver(address, fill, [](RpcReach) {});
+    }
+
     Hooks hooks;
     int wakeFd = -1;
     std::uint64_t wakeCount = 0;
@@ -495,4 +544,17 @@
     loop.post([&loop, address, request = std::move(request), done] { loop.sendPermitRequest(address, request, done); });
 }
 
+void RpcNode::admit(
+    const std::string& address, AdmissionCall call, std::function<void(std::optional<AdmissionReply>)> done)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, call = std::move(call), done] { loop.sendAdmit(address, call, done); });
+}
+
+void RpcNode::admissionEnded(const std::string& address, AdmissionNotice notice)
+{
+    auto& loop = *m_loop;
+    loop.post([&loop, address, notice = std::move(notice)] { loop.sendAdmissionEnded(address, notice); });
+}
+
 } // namespace acaciagauge::daemon
--- a/src/daemon/rpc_node.hpp
+++ b/src/daemon/rpc_node.hpp
@@ -23,6 +23,8 @@
         std::function<void(StoreEra, Revision, std::chrono::milliseconds wait, std::function<void(StoreUpdate)>)>
             onChangesSince;
         std::function<void(PermitRequest, std::function<void(PermitReply)>)> onPermit;
+        std::function<void(AdmissionCall, std::function<void(AdmissionReply)>)> onAdmit;
+        std::function<void(AdmissionNotice)> onAdmissionEnded;
     };
 
     /// @brief Starts the thread and listens.
@@ -58,6 +60,12 @@
     void requestPermit(
         const std::string& address, PermitRequest request, std::function<void(std::optional<PermitReply>)> done);
 
+    /// @brief Asks a peer to admit a request; `done` is told nothing if the peer does not answer.
+    void admit(const std::string& address, AdmissionCall call, std::function<void(std::optional<AdmissionReply>)> done);
+
+    /// @brief Tells a peer that an admission has ended.
+    void admissionEnded(const std::string& address, AdmissionNotice notice);
+
 private:
     struct Loop;
     RpcNode();
--- a/src/daemon/rpc_types.hpp
+++ b/src/daemon/rpc_types.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 
 #include <functional>
+#include <set>
 #include <string>
 
 namespace acaciagauge::daemon {
@@ -39,6 +40,31 @@
     return { requestId, outcome, code, 0, {}, {}, std::move(message) };
 }
 
+/// @brief Asks a coordinator to admit a request.
+struct AdmissionCall {
+    std::string subject; ///< The server; or the service, if any of its servers in the domain may serve the request.
+    DomainId domain; ///< Empty: the subject is a server.
+    unsigned priority = 0;
+    Duration untilTarget { 0 };
+    Duration untilDeadline { 0 };
+    Duration maxWait { 0 }; ///< The coordinator answers within this time.
+    std::set<ServerId> avoided; ///< Servers to select only if there is no other.
+};
+
+struct AdmissionReply {
+    bool isAdmitted = false;
+    ServerId server; ///< If it is admitted.
+    std::uint64_t workId = 0;
+    Duration retryAfter { 0 }; ///< If it is refused: when it would be served.
+};
+
+/// @brief Tells a coordinator that an admitted request has ended.
+struct AdmissionNotice {
+    ServerId server;
+    std::uint64_t workId = 0;
+    AdmissionResult result;
+};
+
 /// @brief How a call to a peer failed before anything reached it.
 enum class RpcReach {
     reached,
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -180,9 +180,19 @@
         const auto& dialect = values.text("platform.dialect");
         if (dialect != "own" && dialect != "users")
             return "platform.dialect: must be own or users, found \"" + dialect + "\"";
+        const auto& coordination = values.text("balancing.coordination");
+        if (coordination != "auto" && coordination != "on" && coordination != "off")
+            return "balancing.coordination: must be auto, on or off, found \"" + coordination + "\"";
         return std::nullopt;
     }
 
+    Coordination toCoordination(const std::string& text)
+    {
+        if (text == "auto")
+            return Coordination::automatic;
+        return text == "on" ? Coordination::on : Coordination::off;
+    }
+
     Settings toSettings(const ValidatedValues& values)
     {
         Settings settings;
@@ -219,6 +229,7 @@
         settings.keyGrantDuration = values.milliseconds("ownership.hold_ms");
         settings.serverDrainTime = values.milliseconds("leaving.server_drain_ms");
         settings.terminationGracePeriod = values.seconds("leaving.grace_s");
+        settings.coordination = toCoordination(values.text("balancing.coordination"));
         settings.retries.ratio = values.number("retry.ratio");
         settings.retries.allowance = values.number("retry.allowance");
         settings.retries.window = values.seconds("retry.window_s");
@@ -252,6 +263,8 @@
         { "limits", "leave_grace_ms", "1000", 0, 60000, "Time from announcing to leave until closing, in ms." },
         { "relay", "interval_ms", "200", 10, 10000, "Interval of digest exchanges with a random peer, in ms." },
         { "relay", "seeds", "none", 0, 0, "IP:PORT of other instances, separated by commas; dialect users." },
+        { "balancing", "coordination", "auto", 0, 0,
+            "Whether one instance for each server admits the requests of all: auto, on or off; dialect users." },
         { "retry", "ratio", "0.2", 0, 10, "Retries per request to a service, of all instances together." },
         { "retry", "allowance", "50", 0, 1000000, "Additional retries per window, of all instances together." },
         { "retry", "window_s", "10", 0.1, 600, "Window of the retry budget, in s." },
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -19,6 +19,13 @@
     [[nodiscard]] bool isNumber() const { return min < max; }
 };
 
+/// @brief Whether requests are admitted by coordinators.
+enum class Coordination {
+    automatic, ///< If the desired state calls for it.
+    on,
+    off,
+};
+
 /// @brief All settings of a daemon.
 struct Settings {
     InstanceId instance;
@@ -49,6 +56,7 @@
     std::chrono::milliseconds serverDrainTime { 2000 }; ///< A leaving server gets no request later than this.
     std::chrono::milliseconds serverHeartbeat { 870 }; ///< Interval in which servers renew their entries.
     std::chrono::milliseconds terminationGracePeriod { 6000 }; ///< From SIGTERM to the end of the process.
+    Coordination coordination = Coordination::automatic;
     RetryShare::Options retries; ///< Budget of retries of all instances.
     /// @}
 };
--- a/src/daemon/wire.cpp
+++ b/src/daemon/wire.cpp
@@ -1,5 +1,7 @@
 #include "daemon/wire.hpp"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace acaciagauge::daemon {
@@ -152,6 +154,13 @@
         return { reinterpret_cast<const unsigned char*>(text.data()), text.size() };
     }
 
+    std::uint32_t toMillis(Duration duration)
+    {
+        auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(millis, 0, std::numeric_limits<std::uint32_t>::max()));
+    }
+
     template <typename List, typename Read> void readDocuments(List list, Read read)
     {
         for (auto it : list) {
@@ -382,4 +391,79 @@
     return delta;
 }
 
+void toWire(const AdmissionCall& call, wire::Peer::AdmitParams::Builder out)
+{
+    out.setSubject(call.subject);
+    out.setDomain(call.domain);
+    out.setPriority(static_cast<std::uint8_t>(std::min(call.priority, 255U)));
+    out.setTargetMillis(toMillis(call.untilTarget));
+    out.setDeadlineMillis(toMillis(call.untilDeadline));
+    out.setWaitMillis(toMillis(call.maxWait));
+    if (call.avoided.empty())
+        return;
+    auto avoided = out.initAvoided(static_cast<unsigned>(call.avoided.size()));
+    unsigned n = 0;
+    for (const auto& it : call.avoided)
+        avoided.set(n++, it);
+}
+
+AdmissionCall fromWire(wire::Peer::AdmitParams::Reader in)
+{
+    AdmissionCall call;
+    call.subject = in.getSubject();
+    call.domain = in.getDomain();
+    call.priority = in.getPriority();
+    call.untilTarget = std::chrono::milliseconds(in.getTargetMillis());
+    call.untilDeadline = std::chrono::milliseconds(in.getDeadlineMillis());
+    call.maxWait = std::chrono::milliseconds(in.getWaitMillis());
+    for (auto it : in.getAvoided())
+        call.avoided.insert(it);
+    return call;
+}
+
+void toWire(const AdmissionReply& reply, wire::Peer::AdmitResults::Builder out)
+{
+    out.setIsAdmitted(reply.isAdmitted);
+    out.setServer(reply.server);
+    out.setWorkId(reply.workId);
+    out.setRetryAfterMillis(toMillis(reply.retryAfter));
+}
+
+AdmissionReply fromWire(wire::Peer::AdmitResults::Reader in)
+{
+    return { in.getIsAdmitted(), in.getServer(), in.getWorkId(), std::chrono::milliseconds(in.getRetryAfterMillis()) };
+}
+
+void toWire(const AdmissionNotice& notice, wire::Peer::AdmissionEndedParams::Builder out)
+{
+    const auto& result = notice.result;
+    out.setServer(notice.server);
+    out.setWorkId(notice.workId);
+    out.setEnd(static_cast<wire::AdmissionEnd>(result.end));
+    out.setResponseMicros(static_cast<std::uint32_t>(
+        std::clamp<Duration::rep>(result.responseTime.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+    out.setRetryAfterMillis(toMillis(result.retryAfter));
+    if (!result.reportedLoad)
+        return;
+    constexpr unsigned maxLoad = std::numeric_limits<std::uint16_t>::max() - 1;
+    constexpr double maxPercent = std::numeric_limits<std::uint16_t>::max();
+    out.setLoad(static_cast<std::uint16_t>(std::min(*result.reportedLoad, maxLoad) + 1));
+    out.setSlowdownPercent(static_cast<std::uint16_t>(std::clamp(result.slowdown * 100, 1.0, maxPercent)));
+}
+
+AdmissionNotice fromWire(wire::Peer::AdmissionEndedParams::Reader in)
+{
+    AdmissionNotice notice;
+    notice.server = in.getServer();
+    notice.workId = in.getWorkId();
+    notice.result.end = static_cast<AdmissionEnd>(in.getEnd());
+    notice.result.responseTime = Duration(in.getResponseMicros());
+    notice.result.retryAfter = std::chrono::milliseconds(in.getRetryAfterMillis());
+    if (in.getLoad() > 0)
+        notice.result.reportedLoad = in.getLoad() - 1U;
+    if (in.getSlowdownPercent() > 0)
+        notice.result.slowdown = in.getSlowdownPercent() / 100.0;
+    return notice;
+}
+
 } // namespace acaciagauge::daemon
--- a/src/daemon/wire.hpp
+++ b/src/daemon/wire.hpp
@@ -21,6 +21,12 @@
 LoadReport fromWire(wire::LoadReport::Reader in);
 void toWire(const StoreDelta& delta, wire::StoreDelta::Builder out);
 StoreDelta fromWire(wire::StoreDelta::Reader in);
+void toWire(const AdmissionCall& call, wire::Peer::AdmitParams::Builder out);
+AdmissionCall fromWire(wire::Peer::AdmitParams::Reader in);
+void toWire(const AdmissionReply& reply, wire::Peer::AdmitResults::Builder out);
+AdmissionReply fromWire(wire::Peer::AdmitResults::Reader in);
+void toWire(const AdmissionNotice& notice, wire::Peer::AdmissionEndedParams::Builder out);
+AdmissionNotice fromWire(wire::Peer::AdmissionEndedParams::Reader in);
 /// @}
 
 } // namespace acaciagauge::daemon
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -58,6 +58,7 @@
     , m_controller(context, selfRecord(), m_ports.store, m_ports.orders, m_catalog, m_follower, keyAssignerOptions(),
           controllerHooks())
     , m_permits(context, m_settings.instance, m_catalog, permitHooks())
+    , m_admission(context, { m_settings.instance, m_settings.coordination }, m_catalog, admissionHooks())
     , m_forwarder(context, forwarderOptions(), m_ports.dialect, m_catalog, forwarderHooks())
 {
 }
@@ -103,9 +104,25 @@
     return hooks;
 }
 
+Admission::Hooks EntryNode::admissionHooks()
+{
+    Admission::Hooks hooks;
+    hooks.ask = [this](const std::string& address, daemon::AdmissionCall call,
+                    std::function<void(std::optional<daemon::AdmissionReply>)> done) {
+        m_rpc->admit(address, std::move(call), std::move(done));
+    };
+    hooks.notify = [this](const std::string& address, daemon::AdmissionNotice notice) {
+        m_rpc->admissionEnded(address, std::move(notice));
+    };
+    hooks.isReachable = [this](const ServerRun& run) { return m_forwarder.isReachable(run); };
+    hooks.metrics = m_metrics.get();
+    return hooks;
+}
+
 RequestForwarder::Hooks EntryNode::forwarderHooks()
 {
     RequestForwarder::Hooks hooks;
+    hooks.admission = &m_admission;
     hooks.acquirePermit = [this](PermitRequest request, DomainId domain) {
         return m_permits.acquire(std::move(request), std::move(domain));
     };
@@ -216,6 +233,12 @@
     hooks.onPermit = [this](PermitRequest request, std::function<void(PermitReply)> done) {
         asio::post(m_context, [this, request = std::move(request), done] { done(m_permits.answer(request)); });
     };
+    hooks.onAdmit = [this](daemon::AdmissionCall call, std::function<void(daemon::AdmissionReply)> done) {
+        asio::post(m_context, [this, call = std::move(call), done] { m_admission.answer(call, done); });
+    };
+    hooks.onAdmissionEnded = [this](daemon::AdmissionNotice notice) {
+        asio::post(m_context, [this, notice = std::move(notice)] { m_admission.noteEnded(notice); });
+    };
     hooks.onChangesSince = [this](StoreEra era, Revision revision, std::chrono::milliseconds wait,
                                std::function<void(StoreUpdate)> done) {
         auto answer = [this, era, revision, wait, done]() -> awaitable<void> {
@@ -286,6 +309,7 @@
     while (!m_leaving) {
         co_await sleepFor(m_context, pruneInterval);
         m_forwarder.prune();
+        m_admission.prune();
     }
 }
 
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -2,6 +2,7 @@
 
 #include "daemon/rpc_node.hpp"
 #include "daemon/settings.hpp"
+#include "entry/admission.hpp"
 #include "entry/controller_role.hpp"
 #include "entry/membership.hpp"
 #include "entry/permits.hpp"
@@ -47,6 +48,7 @@
     StoreFollower::Hooks followerHooks();
     ControllerRole::Hooks controllerHooks();
     Permits::Hooks permitHooks();
+    Admission::Hooks admissionHooks();
     RequestForwarder::Hooks forwarderHooks();
     KeyAssigner::Options keyAssignerOptions() const;
     RequestForwarder::Options forwarderOptions() const;
@@ -61,6 +63,7 @@
     Membership m_membership;
     ControllerRole m_controller;
     Permits m_permits;
+    Admission m_admission;
     RequestForwarder m_forwarder;
     std::shared_ptr<net::HttpServer> m_callerServer;
     std::shared_ptr<net::HttpServer> m_readinessServer;
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -51,6 +51,11 @@
     /// Subtracted from the caller's deadline for the response's way back.
     constexpr auto responseMargin = std::chrono::milliseconds(25);
 
+    /// A request waits for its admission for this part of the time to its target, and at least for the minimum: the
+    /// rest is for its execution.
+    constexpr double waitPartOfTarget = 0.75;
+    constexpr auto minAdmissionWait = std::chrono::milliseconds(300);
+
     /// Idle connections kept per server; a server works on few requests at once.
     constexpr std::size_t maxIdlePerServer = 6;
 
@@ -233,6 +238,8 @@
 void RequestForwarder::endShutdown()
 {
     m_upstreams.refuseWaiting();
+    if (m_hooks.admission)
+        m_hooks.admission->refuseWaiting();
     m_shutdownEnd->cancel();
 }
 
@@ -321,23 +328,14 @@
             co_return respondNotRun(pending, ownerRetryAfter);
         }
         // Copied, since the directory may change while this coroutine waits.
-        auto server = *found;
-        pending.lastServer = server.entry.run.id;
-        ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, serverDeadline(pending) };
-        auto retryAfter = co_await waitForPermit(pending, server, work);
-        if (retryAfter) {
-            if (pending.history.mayHaveRun > 0)
-                co_return respondUnknown(pending, false);
-            co_return respondNotRun(pending, *retryAfter);
-        }
-        auto admitted = co_await m_upstreams.admit(server, work, pending.cancellation);
-        if (!admitted) {
-            pending.cause = "server " + server.entry.run.id + " has no capacity in time";
+        auto admittance = co_await admit(pending, *found);
+        const auto& server = admittance.server;
+        if (!admittance.workId) {
             if (pending.history.mayHaveRun > 0)
-                co_return respondUnknown(pending, monotonicNow() >= pending.deadline);
-            co_return respondNotRun(pending, m_upstreams.expectedTime(server.entry.run.id));
+                co_return respondUnknown(pending, !admittance.isRateLimited && monotonicNow() >= pending.deadline);
+            co_return respondNotRun(pending, admittance.retryAfter);
         }
-        auto result = co_await send(pending, server, *admitted);
+        auto result = co_await send(pending, server, *admittance.workId);
         pending.tried.insert(server.entry.run.id);
         pending.cause = result.cause;
         timedOut = result.timedOut;
@@ -364,6 +362,132 @@
     }
 }
 
+awaitable<RequestForwarder::Admittance> RequestForwarder::admit(PendingRequest& pending, KnownServer server)
+{
+    ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, serverDeadline(pending) };
+    pending.lastServer = server.entry.run.id;
+    bool isCoordinated = m_hooks.admission && m_hooks.admission->isActive();
+    std::optional<Admission::Reply> reply;
+    if (isCoordinated && !pending.key)
+        reply = co_await askCoordinators(pending, server, work);
+    if (reply && reply->grant) {
+        const auto* granted = m_catalog.servers().find(reply->grant->server);
+        if (granted) {
+            server = *granted;
+            pending.grant = reply->grant;
+        } else {
+            m_hooks.admission->end(*reply->grant, {});
+            reply.reset();
+        }
+    }
+    pending.lastServer = server.entry.run.id;
+    if (!reply || reply->grant) {
+        auto retryAfter = co_await waitForPermit(pending, server, work);
+        if (retryAfter) {
+            endAdmission(pending, {}, monotonicNow());
+            co_return Admittance { std::nullopt, std::move(server), *retryAfter, true };
+        }
+    }
+    if (isCoordinated && pending.key) {
+        reply = co_await askCoordinators(pending, server, work);
+        if (reply)
+            pending.grant = reply->grant;
+    }
+    if (reply && reply->grant) {
+        m_upstreams.track(server);
+        co_return Admittance { reply->grant->workId, std::move(server), {} };
+    }
+    std::optional<std::uint64_t> workId;
+    if (!reply)
+        workId = co_await m_upstreams.admit(server, work, pending.cancellation);
+    if (workId)
+        co_return Admittance { workId, std::move(server), {} };
+    pending.cause = "server " + server.entry.run.id + " has no capacity in time";
+    if (reply && !pending.key)
+        pending.cause = "service " + pending.service + " has no capacity in time";
+    auto retryAfter = reply ? reply->retryAfter : m_upstreams.expectedTime(server.entry.run.id);
+    co_return Admittance { std::nullopt, std::move(server), retryAfter };
+}
+
+// Asks the server's coordinator; without a key, the one of this failure domain, then one of another domain.
+awaitable<std::optional<Admission::Reply>> RequestForwarder::askCoordinators(
+    PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work)
+{
+    // A route without a target latency has its deadline as the target.
+    auto target = work.target > pending.started ? work.target : work.deadline;
+    auto callAt = [&](TimePoint now) {
+        daemon::AdmissionCall call;
+        call.priority = work.priority;
+        call.untilTarget = std::max(Duration::zero(), target - now);
+        call.untilDeadline = std::max(Duration::zero(), work.deadline - now);
+        auto wait = std::chrono::duration_cast<Duration>(call.untilTarget * waitPartOfTarget);
+        call.maxWait = std::min(call.untilDeadline, std::max<Duration>(minAdmissionWait, wait));
+        return call;
+    };
+    auto call = callAt(monotonicNow());
+    if (pending.key) {
+        call.subject = server.entry.run.id;
+        co_return co_await m_hooks.admission->acquire(call, server.entry.domain, pending.cancellation);
+    }
+    std::set<DomainId> domains;
+    for (const auto* it : m_catalog.readyServers(pending.service))
+        domains.insert(it->entry.domain);
+    auto ownDomain = domains.extract(m_options.domain);
+    auto order = rendezvousOrder(pending.id, { domains.begin(), domains.end() });
+    if (!ownDomain.empty())
+        order.insert(order.begin(), m_options.domain);
+    constexpr std::size_t maxDomainsAsked = 2;
+    std::optional<Admission::Reply> reply;
+    for (std::size_t n = 0; n < std::min(order.size(), maxDomainsAsked); ++n) {
+        auto now = monotonicNow();
+        bool canBeInTime = now + m_upstreams.expectedTime(server.entry.run.id) < target;
+        if (n > 0 && (!canBeInTime || pending.cancellation->isCancelled()))
+            break;
+        call = callAt(now);
+        call.subject = pending.service;
+        call.domain = order[n];
+        call.avoided = pending.tried;
+        auto answer = co_await m_hooks.admission->acquire(call, order[n], pending.cancellation);
+        if (!answer || answer->grant)
+            co_return answer;
+        if (!reply || answer->retryAfter < reply->retryAfter)
+            reply = answer;
+    }
+    co_return reply;
+}
+
+void RequestForwarder::endAdmission(PendingRequest& pending, const SendResult& result, TimePoint sentAt)
+{
+    if (!pending.grant)
+        return;
+    AdmissionResult ended;
+    auto load = m_dialect.parseLoad(headerOf(result.response, m_dialect.load));
+    if (load) {
+        ended.reportedLoad = load->running + load->waiting;
+        ended.slowdown = load->slowdown;
+    }
+    ended.responseTime = monotonicNow() - sentAt;
+    if (result.response.result() == http::status::service_unavailable)
+        ended.retryAfter = parseRetryAfter(result.response);
+    const auto* server = m_catalog.servers().find(pending.grant->server);
+    bool isUnreachable = server && !m_upstreams.isReachable(server->entry.run);
+    switch (result.outcome) {
+    case SendOutcome::answered:
+        ended.end = AdmissionEnd::ran;
+        break;
+    case SendOutcome::shed:
+    case SendOutcome::connectionRejected:
+        ended.end = AdmissionEnd::shed;
+        break;
+    case SendOutcome::notSent:
+        ended.end = isUnreachable ? AdmissionEnd::unreachable : AdmissionEnd::notSent;
+        break;
+    default:
+        ended.end = AdmissionEnd::other;
+    }
+    m_hooks.admission->end(*std::exchange(pending.grant, std::nullopt), ended);
+}
+
 // Returns nothing once the request may be sent; otherwise, when the server takes the next one.
 awaitable<std::optional<Duration>> RequestForwarder::waitForPermit(
     PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work)
@@ -426,6 +550,7 @@
     if (result.outcome == SendOutcome::unknown || result.outcome == SendOutcome::failed)
         ++pending.history.mayHaveRun;
     recordSend(pending, server, workId, result, sentAt);
+    endAdmission(pending, result, sentAt);
     co_return result;
 }
 
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/metrics.hpp"
+#include "entry/admission.hpp"
 #include "entry/upstreams.hpp"
 
 namespace acaciagauge::entry {
@@ -20,6 +21,7 @@
         std::function<void(const ServiceName&, KeyNumber)> countKey;
         /// Asks for the permission to send a request to a server with a rate limit.
         std::function<boost::asio::awaitable<PermitReply>(PermitRequest, DomainId)> acquirePermit;
+        Admission* admission = nullptr; ///< Null: requests are not admitted by coordinators.
         daemon::Metrics* metrics = nullptr;
     };
 
@@ -44,6 +46,9 @@
     /// @brief Adds what servers reported and how fast they were since the last call.
     void addServerReports(LoadReport& report) { m_upstreams.addServerReports(report); }
 
+    /// @brief Returns false if this instance could not reach the server a moment ago, or its run has ended.
+    [[nodiscard]] bool isReachable(const ServerRun& run) const { return m_upstreams.isReachable(run); }
+
     /// @brief Drops the state of servers that are no longer listed.
     void prune() { m_upstreams.prune(); }
 
@@ -65,6 +70,7 @@
         std::set<ServerId> tried;
         std::set<std::uint64_t> connections; ///< That carried the request.
         ServerId lastServer;
+        std::optional<Admission::Grant> grant; ///< A coordinator's admission of the present send.
         std::string cause; ///< Why the last send did not bring a response to relay.
     };
 
@@ -77,12 +83,24 @@
         std::string cause;
     };
 
+    /// Decision on sending a request.
+    struct Admittance {
+        std::optional<std::uint64_t> workId; ///< Nothing: refused, pending.cause says why.
+        KnownServer server; ///< Server that it may be sent to.
+        Duration retryAfter { 0 }; ///< If it is refused.
+        bool isRateLimited = false; ///< It is refused by the server's rate limit.
+    };
+
     boost::asio::awaitable<net::Response> route(
         PendingRequest& pending, const std::string& host, const std::string& path);
     boost::asio::awaitable<net::Response> forward(PendingRequest& pending);
     boost::asio::awaitable<const KnownServer*> findServer(PendingRequest& pending);
     boost::asio::awaitable<std::optional<Duration>> waitForPermit(
         PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
+    boost::asio::awaitable<Admittance> admit(PendingRequest& pending, KnownServer server);
+    boost::asio::awaitable<std::optional<Admission::Reply>> askCoordinators(
+        PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
+    void endAdmission(PendingRequest& pending, const SendResult& result, TimePoint sentAt);
     const KnownServer* ownerOf(const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const;
     [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
     boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -28,6 +28,9 @@
     /// @brief Returns how long a request to the server may wait before it is sent.
     [[nodiscard]] Duration waitLimit(const KnownServer& server, const ConcurrencyLimiter::Work& work);
 
+    /// @brief Keeps state of a server to which a coordinator admitted a request.
+    void track(const KnownServer& server) { upstreamOf(server); }
+
     /// @brief Records how admitted work ended.
     void complete(const ServerId& server, std::uint64_t workId, const ConcurrencyLimiter::Completion& ended);
 
