--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -399,7 +399,7 @@
         if (version > 1)
             routes["rows"].push_back({ "late", "a.example", "/late/", "safe", timeoutMs, 500, 2, nullptr, 2, "floor" });
         Json services { { "columns", { "name", "health_check", "max_connections", "sharded", "warm_s" } },
-            { "rows", { { "floor", "/health", 100, true, 0.0 } } } };
+            { "rows", { { "floor", "/health", 100, m_isSharded, 0.0 } } } };
         m_version = version;
         m_timeoutMs = timeoutMs;
         m_store.put("op/config",
@@ -464,6 +464,7 @@
         m_faults.lostRuns = body.value("lostRuns", m_faults.lostRuns);
         m_faults.executionTime = std::chrono::milliseconds(body.value("executionMs", m_faults.executionTime.count()));
         m_faults.lateGrants = body.value("lateGrants", m_faults.lateGrants);
+        m_isSharded = body.value("sharded", m_isSharded);
         if (body.contains("configure"))
             publishDesiredState(body["configure"].get<unsigned>(), body.value("timeoutMs", m_timeoutMs));
         if (body.contains("compact"))
@@ -590,7 +591,7 @@
         auto key = static_cast<std::uint32_t>(std::stoul(headerOf(request, "Acaciagauge-Shard-Key")));
         auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt);
         m_arrivals.push_back({ { "id", id }, { "server", server.id }, { "atMs", sinceStart.count() } });
-        if (!server.holds(key)) {
+        if (m_isSharded && !server.holds(key)) {
             auto response = jsonResponse(421, Json::object());
             response.set("Acaciagauge-Not-Executed", "1");
             response.set("Acaciagauge-Request-Id", id);
@@ -623,6 +624,7 @@
     std::shared_ptr<HttpServer> m_storeServer;
     std::vector<KeyServer> m_servers;
     Faults m_faults;
+    bool m_isSharded = true; ///< Whether the service of the desired states that follow is sharded.
     unsigned m_version = 0; ///< Of the newest desired state.
     unsigned m_timeoutMs = 1500; ///< Timeout of its routes.
     Clock::time_point m_downSince;
--- a/tests/e2e/platform_cluster.cpp
+++ b/tests/e2e/platform_cluster.cpp
@@ -88,7 +88,8 @@
     out << "[instance]\nid = " << name << "\ndomain = " << m_options.domain
         << "\n[listen]\ncallers = " << address(callersOffset) << "\nreadiness = " << address(readinessOffset)
         << "\nadmin = " << address(adminOffset) << "\nrpc = " << address(rpcOffset)
-        << "\n[platform]\ndialect = users\naddress = " << address(storeRelayOffset) << "\n";
+        << "\n[platform]\ndialect = users\naddress = " << address(storeRelayOffset) << "\n"
+        << m_options.settings;
     out.close();
     m_processes.spawn(name, { "acaciagauged", "--settings", file.string() });
 }
@@ -117,6 +118,15 @@
     return exchange.state == net::ExchangeState::answered ? Json::parse(exchange.response.body()) : Json::object();
 }
 
+double PlatformCluster::metric(unsigned daemon, const std::string& name) const
+{
+    auto request = net::makeRequest(net::http::verb::get, "/metrics");
+    auto exchange = exchangeOnce(loopback(m_options.basePort + adminOffset + daemon), std::move(request), 1s);
+    const auto& text = exchange.response.body();
+    auto at = text.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+}
+
 net::Request makeCallerRequest(const CallerResult& result, unsigned key, const std::string& path)
 {
     auto method = result.isPost ? net::http::verb::post : net::http::verb::get;
--- a/tests/e2e/platform_cluster.hpp
+++ b/tests/e2e/platform_cluster.hpp
@@ -25,6 +25,7 @@
         unsigned daemons = 3;
         unsigned servers = 4;
         std::string domain = "a"; ///< Failure domain of all daemons.
+        std::string settings; ///< Added to the settings files of all daemons.
         bool hasServerRelays = false; ///< Daemons connect to the servers through relays.
     };
 
@@ -42,6 +43,9 @@
     /// @brief Returns a daemon's status; empty if it does not respond.
     [[nodiscard]] nlohmann::json status(unsigned daemon) const;
 
+    /// @brief Returns the value of a daemon's metric; 0 if it has none of this name.
+    [[nodiscard]] double metric(unsigned daemon, const std::string& name) const;
+
     /// @brief Sends a request to a daemon on a new connection.
     CallerResult sendRequest(unsigned daemon, bool isPost, unsigned key, const std::string& path = "/view/");
 
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -142,6 +142,54 @@
     CHECK(cluster.fetchRecord().at("problems") == Json::array());
 }
 
+TEST_CASE("callers still get answers when the coordinator of their server's admissions is killed")
+{
+    auto options = optionsFor(31000);
+    options.settings = "[balancing]\ncoordination = on\n";
+    PlatformCluster cluster(options);
+    REQUIRE(cluster.waitUntilServing());
+    auto victim = weightedRendezvousOrder("i-0", { { "d0", 1 }, { "d1", 1 }, { "d2", 1 } }).front();
+    std::vector<unsigned> others;
+    for (unsigned n = 0; n < daemons; ++n) {
+        if (PlatformCluster::nameOf(n) != victim)
+            others.push_back(n);
+    }
+    auto count = [&](const std::string& step) {
+        double sum = 0;
+        for (auto n : others)
+            sum += cluster.metric(n, "acaciagauge_admissions_total{step=\"" + step + "\"}");
+        return sum;
+    };
+    std::vector<CallerResult> results;
+    int served = 0;
+    auto load = [&](int n) {
+        for (int i = 0; i < n; ++i) {
+            results.push_back(cluster.sendRequest(
+                others[static_cast<std::size_t>(i) % 2], i % 2 == 0, static_cast<unsigned>(i * 7919 % 65536)));
+            served += results.back().status == 200;
+        }
+    };
+    load(40);
+    CHECK(count("granted") >= 40);
+    CHECK(count("fallback") == 0);
+    cluster.processes().signal(victim, SIGKILL);
+    cluster.processes().wait(victim);
+    load(40);
+    CHECK(served == 80);
+    CHECK(count("fallback") >= 1);
+
+    // The same when any server may serve a request.
+    cluster.startDaemon(static_cast<unsigned>(std::stoul(victim.substr(1))));
+    REQUIRE(cluster.waitUntilServing());
+    cluster.setFaults({ { "configure", 2 }, { "sharded", false } });
+    std::this_thread::sleep_for(6s); // Daemons skip a coordinator that did not answer for 5 s.
+    auto grantedBefore = count("granted");
+    load(40);
+    CHECK(served == 120);
+    CHECK(count("granted") >= grantedBefore + 40);
+    checkNoViolations(results, cluster.fetchRecord());
+}
+
 TEST_CASE("a watcher that cannot reach the store follows a peer, and all daemons get the new desired state")
 {
     auto last = daemons - 1;
