--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -84,6 +84,10 @@
             return "evacuationEnded";
         case LogEvent::permitUnanswered:
             return "permitUnanswered";
+        case LogEvent::coordinatorUnanswered:
+            return "coordinatorUnanswered";
+        case LogEvent::coordinationChanged:
+            return "coordinationChanged";
         case LogEvent::storeRelayed:
             return "storeRelayed";
         case LogEvent::storeSource:
