--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -313,6 +313,7 @@
 
     std::string id;
     std::string address;
+    std::string zone;
     std::int64_t startTimeMs = 0;
     bool isDraining = false;
     bool isSilent = false; ///< Accepts connections but responds to no request.
@@ -334,11 +335,12 @@
 /// The platform: the store and the servers.
 class Platform {
 public:
-    Platform(asio::io_context& context, unsigned basePort, unsigned servers, unsigned listedPort)
+    Platform(asio::io_context& context, unsigned basePort, unsigned servers, unsigned zones, unsigned listedPort)
         : m_context(context)
         , m_store(context)
         , m_basePort(basePort)
         , m_listedPort(listedPort)
+        , m_zones(zones)
     {
         m_servers.resize(servers);
     }
@@ -357,6 +359,7 @@
         for (unsigned n = 0; n < m_servers.size(); ++n) {
             auto& server = m_servers[n];
             server.id = "i-" + std::to_string(n);
+            server.zone = std::string(1, static_cast<char>('a' + n % m_zones));
             server.address = "127.0.0.1:" + std::to_string(m_listedPort + n);
             server.startTimeMs = 1'700'000'000'000 + n;
             HttpServer::Options options;
@@ -381,7 +384,7 @@
     {
         Json entry {
             { "address", server.address }, { "born", server.startTimeMs },
-            { "info", { { "service", "floor" }, { "version", "v1" }, { "zone", "a" }, { "concurrency", 4 } } },
+            { "info", { { "service", "floor" }, { "version", "v1" }, { "zone", server.zone }, { "concurrency", 4 } } },
             { "status",
                 { { "state", server.isDraining ? "draining" : "ready" }, { "sequence", 1 }, { "warmup_left_ms", 0 } } }
         };
@@ -427,7 +430,7 @@
         if (path == "/record")
             co_return jsonResponse(200,
                 { { "runs", m_runs }, { "arrivals", m_arrivals }, { "problems", m_problems },
-                    { "endedLeases", m_store.endedLeases() } });
+                    { "endedLeases", m_store.endedLeases() }, { "evacuatedAtMs", m_evacuatedAt.count() } });
         if (m_faults.isStoreDown)
             co_return withEra(jsonResponse(503, Json::object()));
         bool isWrite = path == "/-/kv-txn";
@@ -487,6 +490,12 @@
             server.retryAfter.clear();
             publishServer(server);
         }
+        if (body.contains("evacuate")) {
+            m_store.put("op/evacuate/" + body["evacuate"].get<std::string>(), "1");
+            m_evacuatedAt = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt);
+        }
+        if (body.contains("endEvacuation"))
+            m_store.remove("op/evacuate/" + body["endEvacuation"].get<std::string>());
         if (body.contains("silence"))
             m_servers.at(body["silence"].get<std::size_t>()).isSilent = true;
         if (body.contains("limit"))
@@ -621,7 +630,9 @@
     unsigned m_basePort;
     unsigned m_listedPort; ///< Port under which the store lists the first server.
     std::shared_ptr<HttpServer> m_storeServer;
+    unsigned m_zones; ///< Failure domains that the servers are spread over.
     std::vector<KeyServer> m_servers;
+    std::chrono::milliseconds m_evacuatedAt { 0 }; ///< When the last evacuation was written, since the start.
     Faults m_faults;
     unsigned m_version = 0; ///< Of the newest desired state.
     unsigned m_timeoutMs = 1500; ///< Timeout of its routes.
@@ -642,12 +653,15 @@
     unsigned servers = 4;
     app.add_option("--port", basePort, "Port of the store; the servers listen on the ports after it")->required();
     app.add_option("--servers", servers, "Number of servers that own keys");
+    unsigned zones = 1;
+    app.add_option("--zones", zones, "Number of failure domains, a, b and so on, that the servers are spread over")
+        ->check(CLI::Range(1, 26));
     unsigned listedPort = 0;
     app.add_option("--listed-from", listedPort,
         "Port that the store lists for the first server, if relays stand before the servers");
     CLI11_PARSE(app, argc, argv);
     asio::io_context context(1);
-    Platform platform(context, basePort, servers, listedPort > 0 ? listedPort : basePort + 1);
+    Platform platform(context, basePort, servers, zones, listedPort > 0 ? listedPort : basePort + 1);
     auto started = platform.start();
     if (!started) {
         std::cerr << started.error().message << '\n';
--- a/tests/e2e/platform_cluster.cpp
+++ b/tests/e2e/platform_cluster.cpp
@@ -53,7 +53,7 @@
 {
     auto basePort = m_options.basePort;
     std::vector<std::string> platform { "standin_users_platform", "--port", std::to_string(basePort), "--servers",
-        std::to_string(m_options.servers) };
+        std::to_string(m_options.servers), "--zones", std::to_string(m_options.serverDomains) };
     for (unsigned n = 0; n < m_options.daemons; ++n)
         m_storeRelays.push_back(std::make_unique<FaultRelay>(basePort + storeRelayOffset + n, basePort));
     if (m_options.hasServerRelays) {
--- a/tests/e2e/platform_cluster.hpp
+++ b/tests/e2e/platform_cluster.hpp
@@ -25,6 +25,7 @@
         unsigned daemons = 3;
         unsigned servers = 4;
         std::string domain = "a"; ///< Failure domain of all daemons.
+        unsigned serverDomains = 1; ///< Servers are in the domains a, b and so on in turn.
         bool hasServerRelays = false; ///< Daemons connect to the servers through relays.
     };
 
--- a/tests/e2e/test_platform_path.cpp
+++ b/tests/e2e/test_platform_path.cpp
@@ -430,3 +430,40 @@
     REQUIRE(isServing);
     checkNoViolations({}, cluster.fetchRecord());
 }
+
+TEST_CASE(
+    "the servers of an evacuated domain get no requests after the limit and their keys move, also through a daemon "
+    "that starts meanwhile")
+{
+    constexpr std::int64_t limitMs = 5000;
+    auto options = optionsFor(31400);
+    options.serverDomains = 2;
+    PlatformCluster cluster(options);
+    REQUIRE(cluster.waitUntilServing());
+    cluster.setFaults({ { "evacuate", "b" } });
+    auto isEmpty = [&](unsigned daemon) {
+        auto status = cluster.status(daemon);
+        return status.contains("evacuations") && status["evacuations"].value("b", -1) == 0;
+    };
+    REQUIRE(cluster.waitUntil([&] { return isEmpty(0) && isEmpty(1) && isEmpty(2); }));
+    cluster.processes().signal("d2", SIGKILL);
+    cluster.processes().wait("d2");
+    cluster.startDaemon(2);
+    REQUIRE(cluster.waitUntilServing());
+    CHECK(isEmpty(2));
+    std::vector<CallerResult> results;
+    auto evacuatedAt = cluster.fetchRecord().at("evacuatedAtMs").get<std::int64_t>();
+    std::this_thread::sleep_for(std::chrono::milliseconds(limitMs));
+    for (unsigned n = 0; n < 60; ++n) {
+        results.push_back(cluster.sendRequest(n % daemons, n % 2 == 0, n * 7919 % 65536));
+        CHECK(results.back().status == 200);
+    }
+    auto record = cluster.fetchRecord();
+    for (std::size_t server = 1; server < options.servers; server += 2) {
+        for (auto at : arrivalsAt(record, server))
+            CHECK(at <= evacuatedAt + limitMs);
+    }
+    cluster.setFaults({ { "endEvacuation", "b" } });
+    CHECK(cluster.waitUntil([&] { return cluster.status(0)["evacuations"].empty(); }));
+    checkNoViolations(results, record);
+}
