Limit the requests to cold servers, and place no keys there beyond the limit

Cause: a cold server crashes above its service's warmup_per_s. The cold period was counted from a server's first listing, so a server that got cold again counted as warm; nothing limited the rate of all instances together.

Change: the cold period is counted from each entry, and from Acaciagauge-Warmup-Ms of responses. A cold server of a service with warmup_per_s needs permits, as one that names a rate limit. Rate and burst are chosen so that two holders together stay under the bound ([warmup] overage and slack). Instances without a holder spread their first permits. A request without a key takes another server if it gets no permit, up to 3 times. KeyPlacement moves no keys to a cold server beyond its rate.

Tests: test_rate_permits, test_key_placement and test_server_directory pass.

--- a/include/acaciagauge/detail/admission/rate_permits.hpp
+++ b/include/acaciagauge/detail/admission/rate_permits.hpp
@@ -14,6 +14,25 @@
     ServerId server;
     double perSecond = 0; ///< Requests per second that the server takes from all instances together.
     Duration maxWait { 0 }; ///< Longest time that the request can wait before it is sent.
+    std::optional<unsigned> burstRequests; ///< Unused permits that are saved up at most; nothing: as the options say.
+    Duration startDelay { 0 }; ///< Until the first permit of a server that has no state yet.
+};
+
+/// @brief Permits of a cold server, which crashes above its rate limit.
+///
+/// Two instances may regard themselves as the holder of the permits for a while, or one instance may have lost them to
+/// another. Each of the two gives out at most `perSecond` + 1 + `burstRequests` permits in any one second, and both
+/// together stay under the bound.
+struct ColdPermits {
+    double perSecond = 0;
+    unsigned burstRequests = 0;
+
+    /// @param perSecond requests per second that a cold server takes
+    /// @param bound requests that it may get in any one second
+    static ColdPermits create(double perSecond, double bound);
+
+    /// @brief Limits a request for a permit to these permits.
+    void limit(PermitRequest& request) const;
 };
 
 /// @brief Answer to a PermitRequest.
@@ -52,6 +71,11 @@
     TimePoint m_prunedAt;
 };
 
+/// @brief Returns the request for an instance's own part of a rate, when no holder can be reached.
+/// @param phase from 0 to 1, random for each request: as all instances may lose the holder at once, their first permits
+/// for a cold server are spread over the interval of their parts
+PermitRequest ownShare(PermitRequest request, std::size_t instances, double phase);
+
 /// @brief Selects the instance that holds a server's permits, the same one on all instances that know the same members.
 class PermitHolders {
 public:
--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -38,6 +38,7 @@
     unsigned maxConnections = 0; ///< To one server, from all instances; 0: not configured.
     bool isSharded = false; ///< Each key is owned by one server.
     std::chrono::milliseconds warmUp { 0 }; ///< Time for which a key that arrives without a handover is slow.
+    double coldPerSecond = 0; ///< Requests per second that a cold server may get from all instances; 0: no limit.
 };
 
 /// @brief Bounds on what callers may send.
--- a/include/acaciagauge/detail/membership/server_directory.hpp
+++ b/include/acaciagauge/detail/membership/server_directory.hpp
@@ -26,7 +26,7 @@
     unsigned slots = 1; ///< Requests that it processes concurrently.
     bool draining = false;
     std::uint64_t sequence = 0; ///< Rises with each report of the run.
-    std::chrono::milliseconds warmupRemaining { 0 }; ///< For how much longer it was slow when it wrote the entry.
+    std::chrono::milliseconds warmupRemaining { 0 }; ///< For how much longer it was cold when it wrote the entry.
 };
 
 /// @brief Whether a server is in service.
@@ -44,6 +44,8 @@
     TimePoint leavingSince; ///< If it is not ready: the earliest time at which it may have begun to shut down.
     TimePoint listedAt; ///< When this instance first saw this run.
     bool hasSaidLeaving = false; ///< This run said in a response that it is leaving.
+    TimePoint warmUntil; ///< The server is cold until then, by its latest entry or response.
+    std::optional<double> coldRate; ///< Requests per second that it may get while it is cold; nothing: no limit.
     std::optional<TimePoint> evacuatedSince; ///< Earliest time at which its domain's evacuation may have begun.
 
     /// @brief Returns true if the server may get keys and new requests.
@@ -77,6 +79,9 @@
     /// @return true if the server was regarded as ready
     bool noteLeaving(const ServerRun& run, TimePoint now);
 
+    /// @brief Records for how much longer a server is cold, by a response of the run.
+    void noteWarmup(const ServerRun& run, Duration remaining, TimePoint now);
+
     /// @brief Records that a failure domain is evacuated: its present and future servers are not to be used.
     /// @param changedAfter when the directory was last known to be up to date: the evacuation began later
     /// @return false if it was evacuated already
--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -267,6 +267,7 @@
     bool m_isWriteInFlight = false;
     bool m_isRecordingAgain = false; ///< Records were lost and are being written again.
     TimePoint m_nextWriteAt;
+    TimePoint m_handledAt; ///< Time of the latest event.
     TimePoint m_nextPlanAt;
     std::map<ServiceName, Service> m_services;
     std::map<ServerId, KnownServer> m_servers;
--- a/include/acaciagauge/detail/planning/key_placement.hpp
+++ b/include/acaciagauge/detail/planning/key_placement.hpp
@@ -23,6 +23,7 @@
         double capacity = 1; ///< Relative; slots times speed.
         bool isUsable = false;
         bool isNew = false; ///< It owns no keys yet.
+        std::optional<double> maxRate; ///< No keys are moved to it beyond this rate, in requests per second.
     };
 
     struct Range {
@@ -47,7 +48,8 @@
     /// @return the ranges in ascending key order; none spans two chunks
     static std::vector<Range> divide(std::vector<Server> servers);
 
-    /// @brief Picks the server that would be least loaded with a range that has no owner.
+    /// @brief Picks the server that would be least loaded with a range that has no owner, within the servers' `maxRate`
+    /// if one can take the range.
     /// @return nothing if no server is usable
     /// @complexity O(r log n + n + s) for r ranges, n keys with a rate and s servers
     static std::optional<ServerId> pick(const Input& input, const KeyRange& keys);
--- a/src/core/membership/server_directory.cpp
+++ b/src/core/membership/server_directory.cpp
@@ -28,10 +28,18 @@
     else if (entry.draining)
         server.leavingSince = std::min({ server.leavingSince, now, changedAfter });
     server.entry = entry;
+    server.warmUntil = now + entry.warmupRemaining;
     auto evacuation = m_evacuations.find(entry.domain);
     server.evacuatedSince = evacuation == m_evacuations.end() ? std::nullopt : std::optional(evacuation->second);
 }
 
+void ServerDirectory::noteWarmup(const ServerRun& run, Duration remaining, TimePoint now)
+{
+    auto it = m_servers.find(run.id);
+    if (it != m_servers.end() && it->second.entry.run == run)
+        it->second.warmUntil = now + remaining;
+}
+
 bool ServerDirectory::startEvacuation(const DomainId& domain, TimePoint now, TimePoint changedAfter)
 {
     auto evacuation = m_evacuations.emplace(domain, std::min(now, changedAfter));
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -84,6 +84,7 @@
 std::vector<KeyAction> KeyAssigner::handle(const KeyEvent& event, TimePoint now)
 {
     m_actions.clear();
+    m_handledAt = now;
     if (const auto* servers = std::get_if<KeyServersChanged>(&event))
         onServers(*servers, now);
     else if (const auto* services = std::get_if<KeyServicesChanged>(&event))
@@ -355,6 +356,8 @@
         server.id = it.first;
         server.capacity = capacityOf(it.second, service);
         server.isUsable = it.second.isUsable();
+        if (m_handledAt < it.second.warmUntil)
+            server.maxRate = it.second.coldRate;
         server.isNew = !owners.contains(it.first);
         input.servers.push_back(server);
     }
--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace acaciagauge {
@@ -27,6 +28,8 @@
             for (const auto& it : input.servers) {
                 m_capacity[it.id] = it.capacity;
                 m_rate[it.id] = 0;
+                if (it.maxRate)
+                    m_maxRate[it.id] = *it.maxRate;
                 if (it.isUsable)
                     m_usable.push_back(it.id);
             }
@@ -50,6 +53,13 @@
         [[nodiscard]] double rate(const ServerId& id) const { return m_rate.at(id); }
         [[nodiscard]] double relativeLoad(const ServerId& id) const { return rate(id) / capacity(id); }
 
+        /// Returns how much weight may be moved to a server.
+        [[nodiscard]] double room(const ServerId& id) const
+        {
+            auto limit = m_maxRate.find(id);
+            return limit == m_maxRate.end() ? std::numeric_limits<double>::max() : limit->second - rate(id);
+        }
+
         void moveWeight(const ServerId& from, const ServerId& to, double weight)
         {
             m_rate[from] -= weight;
@@ -71,6 +81,7 @@
         const KeyPlacement::Input& m_input;
         std::map<ServerId, double> m_capacity;
         std::map<ServerId, double> m_rate;
+        std::map<ServerId, double> m_maxRate;
         std::vector<ServerId> m_usable;
         double m_evenPerKey = 0;
     };
@@ -122,14 +133,14 @@
         return best;
     }
 
-    /// Finds the usable server that would be least loaded if `weight` were added to it.
+    /// Finds the usable server that would be least loaded if `weight` were added to it; empty if none can take it.
     ServerId findLeastLoaded(const PlannedLoad& planned, const ServerId& excluded, double weight)
     {
         ServerId best;
         double bestLoad = 0;
         for (const auto& it : planned.usableServers()) {
             auto load = (planned.rate(it) + weight) / planned.capacity(it);
-            if (it != excluded && (best.empty() || load < bestLoad)) {
+            if (it != excluded && planned.room(it) > weight && (best.empty() || load < bestLoad)) {
                 best = it;
                 bestLoad = load;
             }
@@ -149,15 +160,18 @@
         const KeyPlacement::Input& input, const PlannedLoad& planned, const ServerId& from)
     {
         auto to = findLeastLoaded(planned, from, 0);
+        if (to.empty())
+            return std::nullopt;
         auto commonLoad = (planned.rate(from) + planned.rate(to)) / (planned.capacity(from) + planned.capacity(to));
-        auto targetWeight = planned.rate(from) - commonLoad * planned.capacity(from);
+        auto targetWeight = std::min(planned.rate(from) - commonLoad * planned.capacity(from), planned.room(to));
         std::optional<KeyPlacement::Move> best;
         double bestDensity = 0;
         for (const auto& it : input.ranges) {
             if (it.owner != from || !it.isMovable)
                 continue;
             auto window = findDensestWindow(planned, *input.load, it.keys, targetWeight, options.maxWidth);
-            if (!window || targetLoadRatio(planned, from, to, planned.weight(*window)) > options.maxTargetLoadRatio)
+            if (!window || planned.weight(*window) > planned.room(to)
+                || targetLoadRatio(planned, from, to, planned.weight(*window)) > options.maxTargetLoadRatio)
                 continue;
             auto density = planned.weight(*window) / window->width();
             if (!best || density > bestDensity) {
@@ -173,7 +187,7 @@
             return std::nullopt;
         auto weight = planned.weight(*key);
         auto faster = findLeastLoaded(planned, from, weight);
-        if (targetLoadRatio(planned, from, faster, weight) > options.maxTargetLoadRatio)
+        if (faster.empty() || targetLoadRatio(planned, from, faster, weight) > options.maxTargetLoadRatio)
             return std::nullopt;
         return KeyPlacement::Move { *key, faster };
     }
@@ -182,7 +196,8 @@
     std::optional<KeyPlacement::Move> planMoveToNew(const KeyPlacement::Options& options,
         const KeyPlacement::Input& input, const PlannedLoad& planned, const ServerId& from, const ServerId& to)
     {
-        auto targetWeight = std::min(planned.rate(from) / 2, planned.meanLoad() * planned.capacity(to));
+        auto targetWeight
+            = std::min({ planned.rate(from) / 2, planned.meanLoad() * planned.capacity(to), planned.room(to) });
         const KeyPlacement::Range* widest = nullptr;
         std::optional<KeyRange> best;
         for (const auto& it : input.ranges) {
@@ -198,7 +213,8 @@
             auto width = std::min(widest->keys.width(), options.maxWidth);
             best = KeyRange { widest->keys.from, widest->keys.from + width - 1 };
         }
-        return best ? std::optional(KeyPlacement::Move { *best, to }) : std::nullopt;
+        bool fits = best && planned.weight(*best) <= planned.room(to);
+        return fits ? std::optional(KeyPlacement::Move { *best, to }) : std::nullopt;
     }
 
     bool areNeighbours(const KeyPlacement::Range& left, const KeyPlacement::Range& right)
@@ -227,7 +243,8 @@
         auto consider = [&](const KeyPlacement::Range& range, std::size_t neighbour, double weight) {
             const auto& to = input.ranges[neighbour].owner;
             bool isPossible = to != range.owner && usable.contains(to) && (!best || weight < best->weight);
-            if (isPossible && (planned.rate(to) + weight) / planned.capacity(to) <= maxLoad)
+            if (isPossible && weight <= planned.room(to)
+                && (planned.rate(to) + weight) / planned.capacity(to) <= maxLoad)
                 best = Merge { { range.keys, to }, range.owner, neighbour, weight };
         };
         for (std::size_t n = 0; n < input.ranges.size(); ++n) {
@@ -278,11 +295,15 @@
     PlannedLoad planned(input);
     auto weight = planned.weight(keys);
     std::optional<ServerId> best;
+    bool isBestWithinRate = false;
     double bestLoad = 0;
     for (const auto& it : planned.usableServers()) {
         auto load = (planned.rate(it) + weight) / planned.capacity(it);
-        if (!best || load < bestLoad) {
+        bool isWithinRate = weight <= planned.room(it);
+        bool isBetter = isWithinRate != isBestWithinRate ? isWithinRate : load < bestLoad;
+        if (!best || isBetter) {
             best = it;
+            isBestWithinRate = isWithinRate;
             bestLoad = load;
         }
     }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -219,6 +219,8 @@
         settings.keyGrantDuration = values.milliseconds("ownership.hold_ms");
         settings.serverDrainTime = values.milliseconds("leaving.server_drain_ms");
         settings.evacuationLimit = values.milliseconds("evacuation.limit_ms");
+        settings.warmupOverage = values.number("warmup.overage");
+        settings.warmupSlack = values.number("warmup.slack");
         settings.terminationGracePeriod = values.seconds("leaving.grace_s");
         settings.retries.ratio = values.number("retry.ratio");
         settings.retries.allowance = values.number("retry.allowance");
@@ -260,6 +262,9 @@
         { "leaving", "grace_s", "6", 0.5, 600, "Time from SIGTERM to the end of this process, in s." },
         { "evacuation", "limit_ms", "5000", 0, 600000,
             "Servers of an evacuated domain get no request later than this, in ms; dialect users." },
+        { "warmup", "overage", "1", 1, 1000,
+            "Bound of a cold server's requests in one second: this multiple of its limit." },
+        { "warmup", "slack", "0", 0, 1000000, "Bound of a cold server's requests in one second: this many beyond it." },
         { "trace", "percent", "1", 0, 100,
             "Share of requests that are traced, in percent; a caller's sampled flag also counts." },
         { "log", "level", "info", 0, 0, "Least severe level that is logged: debug, info, warn or error." },
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -47,7 +47,11 @@
     std::vector<std::string> seeds; ///< IP:PORT of other instances, used before any is known.
     std::chrono::milliseconds keyGrantDuration { 10000 }; ///< Duration of a grant of keys.
     std::chrono::milliseconds serverDrainTime { 2000 }; ///< A leaving server gets no request later than this.
-    std::chrono::milliseconds evacuationLimit { 5000 }; ///< An evacuated domain's servers get no request later than this.
+    std::chrono::milliseconds evacuationLimit {
+        5000
+    }; ///< An evacuated domain's servers get no request later than this.
+    double warmupOverage = 1; ///< A cold server gets this multiple of its service's limit in any one second,
+    double warmupSlack = 0; ///< and this many requests more.
     std::chrono::milliseconds serverHeartbeat { 870 }; ///< Interval in which servers renew their entries.
     std::chrono::milliseconds terminationGracePeriod { 6000 }; ///< From SIGTERM to the end of the process.
     RetryShare::Options retries; ///< Budget of retries of all instances.
--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -13,6 +13,9 @@
     /// Time in which members write their records again after the store was restored.
     constexpr auto memberReturnTime = std::chrono::seconds(3);
 
+    /// Upper bound of the time for which a response may say that its server is cold.
+    constexpr auto maxWarmup = std::chrono::hours(1);
+
     /// Time in which an operator writes an evacuation again that a restored store lacks. Without a limit, an operator
     /// could not end it: a removal of a key that the store does not have is no change.
     constexpr auto evacuationReturnTime = std::chrono::seconds(60);
@@ -85,6 +88,12 @@
     m_changed.notifyAll();
 }
 
+void Catalog::noteWarmup(const ServerRun& run, std::chrono::duration<double, std::milli> remaining)
+{
+    auto limited = std::min<std::chrono::duration<double, std::milli>>(remaining, maxWarmup);
+    m_servers.noteWarmup(run, std::chrono::duration_cast<Duration>(limited), monotonicNow());
+}
+
 void Catalog::removeLapsed()
 {
     auto now = monotonicNow();
--- a/src/entry/catalog.hpp
+++ b/src/entry/catalog.hpp
@@ -34,6 +34,9 @@
     /// @param source who heard it, for the log
     void noteLeaving(const ServerRun& run, std::string_view source);
 
+    /// @brief Records for how much longer a server is cold, as a response said.
+    void noteWarmup(const ServerRun& run, std::chrono::duration<double, std::milli> remaining);
+
     /// @brief Removes servers, members and evacuations whose entries vanished during a store outage, or when the store
     /// was restored, and did not return in time.
     void removeLapsed();
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -379,9 +379,13 @@
     }
     KeyServersChanged servers;
     for (const auto& it : m_catalog.servers().servers()) {
-        bool isConfigured = m_catalog.desiredState() && m_catalog.desiredState()->service(it.second.entry.service);
-        if (isConfigured)
-            servers.servers.push_back(it.second);
+        const auto* service
+            = m_catalog.desiredState() ? m_catalog.desiredState()->service(it.second.entry.service) : nullptr;
+        if (!service)
+            continue;
+        servers.servers.push_back(it.second);
+        if (service->coldPerSecond > 0)
+            servers.servers.back().coldRate = service->coldPerSecond;
     }
     tell(std::move(services));
     tell(std::move(servers));
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -100,6 +100,7 @@
                         std::function<void(std::optional<PermitReply>)> done) {
         m_rpc->requestPermit(address, std::move(request), std::move(done));
     };
+    hooks.coldPermits = [this](const ServerId& id) { return coldPermitsOf(id); };
     return hooks;
 }
 
@@ -109,11 +110,23 @@
     hooks.acquirePermit = [this](PermitRequest request, DomainId domain) {
         return m_permits.acquire(std::move(request), std::move(domain));
     };
+    hooks.coldPermits = [this](const ServerId& id) { return coldPermitsOf(id); };
     hooks.countKey = [this](const ServiceName& service, KeyNumber key) { m_controller.countKey(service, key); };
     hooks.metrics = m_metrics.get();
     return hooks;
 }
 
+std::optional<ColdPermits> EntryNode::coldPermitsOf(const ServerId& id) const
+{
+    const auto* server = m_catalog.servers().find(id);
+    const auto& state = m_catalog.desiredState();
+    const auto* service = server && state ? state->service(server->entry.service) : nullptr;
+    if (!service || service->coldPerSecond <= 0)
+        return std::nullopt;
+    auto bound = service->coldPerSecond * m_settings.warmupOverage + m_settings.warmupSlack;
+    return ColdPermits::create(service->coldPerSecond, bound);
+}
+
 KeyAssigner::Options EntryNode::keyAssignerOptions() const
 {
     KeyAssigner::Options options;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -48,6 +48,7 @@
     ControllerRole::Hooks controllerHooks();
     Permits::Hooks permitHooks();
     RequestForwarder::Hooks forwarderHooks();
+    [[nodiscard]] std::optional<ColdPermits> coldPermitsOf(const ServerId& id) const;
     KeyAssigner::Options keyAssignerOptions() const;
     RequestForwarder::Options forwarderOptions() const;
     boost::asio::awaitable<void> pruneLoop();
--- a/src/entry/permits.cpp
+++ b/src/entry/permits.cpp
@@ -67,8 +67,18 @@
         m_holders.suspect(*holder, monotonicNow());
         logEvent(LogLevel::info, LogEvent::permitUnanswered, { { "server", request.server }, { "holder", *holder } });
     }
-    request.perSecond /= static_cast<double>(std::max<std::size_t>(1, m_catalog.members().size()));
+    auto phase = std::uniform_real_distribution<double>(0, 1)(m_random);
+    request = ownShare(std::move(request), m_catalog.members().size(), phase);
     co_return m_ownShare.request(request, monotonicNow());
 }
 
+// The rate of a request for a cold server's permits is at most that of cold servers; the burst is not in the message.
+PermitReply Permits::answer(PermitRequest request)
+{
+    auto cold = m_hooks.coldPermits ? m_hooks.coldPermits(request.server) : std::nullopt;
+    if (cold && request.perSecond <= cold->perSecond)
+        cold->limit(request);
+    return m_held.request(request, monotonicNow());
+}
+
 } // namespace acaciagauge::entry
--- a/src/entry/permits.hpp
+++ b/src/entry/permits.hpp
@@ -13,6 +13,8 @@
         std::function<void(
             const std::string& address, PermitRequest request, std::function<void(std::optional<PermitReply>)> done)>
             request;
+        /// Returns the permits of a server while it is cold; nothing if its service has no limit for cold servers.
+        std::function<std::optional<ColdPermits>(const ServerId&)> coldPermits;
     };
 
     Permits(boost::asio::io_context& context, InstanceId self, Catalog& catalog, Hooks hooks);
@@ -22,7 +24,7 @@
     boost::asio::awaitable<PermitReply> acquire(PermitRequest request, DomainId domain);
 
     /// @brief Answers an instance that regards this one as the holder.
-    PermitReply answer(const PermitRequest& request) { return m_held.request(request, monotonicNow()); }
+    PermitReply answer(PermitRequest request);
 
 private:
     boost::asio::awaitable<std::optional<PermitReply>> ask(const InstanceId& holder, PermitRequest request);
@@ -35,6 +37,7 @@
     RatePermits m_held; ///< Of the servers whose holder this instance is.
     RatePermits m_ownShare; ///< Of servers whose holder cannot be reached.
     PermitHolders m_holders;
+    std::mt19937_64 m_random { std::random_device {}() };
     std::uint64_t m_knownMemberChanges = 0; ///< Value of Catalog::memberChanges() that m_holders reflects.
 };
 
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -4,6 +4,7 @@
 #include "daemon/log.hpp"
 
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace acaciagauge::entry {
@@ -51,6 +52,9 @@
     /// Subtracted from the caller's deadline for the response's way back.
     constexpr auto responseMargin = std::chrono::milliseconds(25);
 
+    /// Cold servers that a request may be refused by before it waits for one: each costs a call to another instance.
+    constexpr unsigned maxRefusedPermits = 3;
+
     /// Idle connections kept per server; a server works on few requests at once.
     constexpr std::size_t maxIdlePerServer = 6;
 
@@ -336,6 +340,12 @@
         pending.lastServer = server.entry.run.id;
         ConcurrencyLimiter::Work work { pending.priority, pending.latencyTarget, serverDeadline(pending) };
         auto retryAfter = co_await waitForPermit(pending, server, work);
+        bool isAnotherTried = retryAfter && !pending.key && coldPermitsOf(server.entry.run.id)
+            && ++pending.refusedPermits <= maxRefusedPermits;
+        if (isAnotherTried) {
+            pending.tried.insert(server.entry.run.id);
+            continue;
+        }
         if (retryAfter) {
             if (pending.history.mayHaveRun > 0)
                 co_return respondUnknown(pending, false);
@@ -375,15 +385,31 @@
     }
 }
 
+std::optional<ColdPermits> RequestForwarder::coldPermitsOf(const ServerId& id) const
+{
+    const auto* server = m_catalog.servers().find(id);
+    bool isCold = server && monotonicNow() < server->warmUntil;
+    return isCold && m_hooks.coldPermits ? m_hooks.coldPermits(id) : std::nullopt;
+}
+
 // Returns nothing once the request may be sent; otherwise, when the server takes the next one.
 awaitable<std::optional<Duration>> RequestForwarder::waitForPermit(
     PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work)
 {
     auto id = server.entry.run.id;
     auto perSecond = m_upstreams.rateLimit(id);
-    if (!perSecond)
+    auto cold = coldPermitsOf(id);
+    if (!perSecond && !cold)
         co_return std::nullopt;
-    PermitRequest request { id, *perSecond, m_upstreams.waitLimit(server, work) };
+    PermitRequest request { id, perSecond.value_or(std::numeric_limits<double>::max()),
+        m_upstreams.waitLimit(server, work), {}, {} };
+    if (cold) {
+        cold->limit(request);
+        perSecond = request.perSecond;
+        // A request that another server can take does not wait for a cold one.
+        if (!pending.key && pending.refusedPermits < maxRefusedPermits)
+            request.maxWait = Duration::zero();
+    }
     auto reply = co_await m_hooks.acquirePermit(std::move(request), server.entry.domain);
     m_upstreams.noteNextPermit(id, reply.wait);
     if (!reply.isGranted) {
@@ -498,6 +524,9 @@
         ended.retryAfter = parseRetryAfter(result.response);
     m_upstreams.complete(server.entry.run.id, workId, ended);
     bool isStatement = isArrival(result.outcome) && result.outcome != SendOutcome::unknown && !result.isReplaced;
+    auto warmupMs = m_dialect.parseDecimal(headerOf(result.response, m_dialect.warmupMs));
+    if (isStatement && warmupMs)
+        m_catalog.noteWarmup(server.entry.run, std::chrono::duration<double, std::milli>(*warmupMs));
     if (isStatement && headerOf(result.response, m_dialect.leaving) == "1")
         m_catalog.noteLeaving(server.entry.run, "server");
     if (isStatement)
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -21,6 +21,8 @@
         std::function<void(const ServiceName&, KeyNumber)> countKey;
         /// Asks for the permission to send a request to a server with a rate limit.
         std::function<boost::asio::awaitable<PermitReply>(PermitRequest, DomainId)> acquirePermit;
+        /// Returns the permits of a server while it is cold; nothing if its service has no limit for cold servers.
+        std::function<std::optional<ColdPermits>(const ServerId&)> coldPermits;
         daemon::Metrics* metrics = nullptr;
     };
 
@@ -64,6 +66,7 @@
         TimePoint deadline; ///< The caller does not wait for the response after this.
         SendHistory history;
         std::set<ServerId> tried;
+        unsigned refusedPermits = 0; ///< Cold servers that could not be used in time.
         std::set<std::uint64_t> connections; ///< That carried the request.
         ServerId lastServer;
         std::string cause; ///< Why the last send did not bring a response to relay.
@@ -84,6 +87,7 @@
     boost::asio::awaitable<const KnownServer*> findServer(PendingRequest& pending);
     boost::asio::awaitable<std::optional<Duration>> waitForPermit(
         PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
+    [[nodiscard]] std::optional<ColdPermits> coldPermitsOf(const ServerId& id) const;
     const KnownServer* ownerOf(const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const;
     [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
     boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -24,7 +24,7 @@
     /// chosen only if the servers of this domain are busier by this factor.
     constexpr double crossDomainFactor = 1.35;
 
-    /// Cost factor of a server that has just started: it is slower by about this factor.
+    /// Cost factor of a cold server: it is slower by about this factor.
     constexpr double warmupFactor = 2.0;
 
 } // namespace
@@ -125,7 +125,7 @@
     cost *= 1.0 + 0.1 * (static_cast<double>(upstream.limiter.inFlight()) + upstream.limiter.othersInFlight(now));
     if (server.entry.domain != m_domain)
         cost *= crossDomainFactor;
-    if (now < server.listedAt + server.entry.warmupRemaining)
+    if (now < server.warmUntil)
         cost *= warmupFactor;
     return cost;
 }
--- a/src/ports/ports.hpp
+++ b/src/ports/ports.hpp
@@ -120,6 +120,7 @@
     std::string load; ///< On a response: the server's load, see parseLoad.
     std::string leaving; ///< On a response: "1" if the server is leaving.
     std::string rateLimit; ///< On a response: requests per second that the server takes from all instances together.
+    std::string warmupMs; ///< On a response: for how many ms the server is still cold.
     std::string retryAfter; ///< On a refusal: seconds for which the server wants no requests from this instance.
     std::string notExecuted; ///< Present on a response if the server did not execute the request.
     std::string keyNumber;
--- a/tests/test_key_placement.cpp
+++ b/tests/test_key_placement.cpp
@@ -142,6 +142,30 @@
     CHECK(moves[0].to == "new");
 }
 
+TEST_CASE("a cold server gets no more keys than its rate serves, and keeps what it has")
+{
+    KeyCounts counts;
+    for (KeyNumber key = 0; key <= lastKey; key += 64)
+        counts[key] = 100;
+    auto load = loadOf(counts);
+    auto input = inputOf(5, load);
+    input.servers.push_back({ "cold", 2, true, true, 2.7 });
+    double moved = 0;
+    for (const auto& it : KeyPlacement::plan({}, input))
+        moved += it.to == "cold" ? load.rate(it.keys) : 0;
+    CHECK(moved <= 2.7);
+    auto range = input.ranges.front().keys;
+    CHECK(KeyPlacement::pick(input, range) != "cold");
+    // Without another server, its keys are better owned than not.
+    for (auto& it : input.servers)
+        it.isUsable = it.id == "cold";
+    CHECK(KeyPlacement::pick(input, range) == "cold");
+    auto owners = inputOf(5, load);
+    for (auto& it : owners.servers)
+        it.maxRate = 2.7;
+    CHECK(KeyPlacement::plan({}, owners).empty());
+}
+
 TEST_CASE("no keys move under an even load")
 {
     KeyCounts counts;
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -43,6 +43,22 @@
     CHECK((*state)->limits().idleTimeout == 15000ms);
 }
 
+TEST_CASE("the limit for cold servers is decoded; without the column or a value there is none")
+{
+    auto documents = platform::documentsPort();
+    CHECK(documents.evacuationsPrefix == "op/evacuate/");
+    CHECK((*documents.decodeDesiredState(configuration))->service("s1")->coldPerSecond == 0);
+    auto document = nlohmann::json::parse(configuration);
+    auto& services = document["services"];
+    services["columns"].insert(services["columns"].end(), { "warmup_s", "warmup_per_s" });
+    services["rows"][0].insert(services["rows"][0].end(), { 3, 2.7 });
+    services["rows"][1].insert(services["rows"][1].end(), { nullptr, nullptr });
+    auto state = documents.decodeDesiredState(document.dump());
+    REQUIRE(state);
+    CHECK((*state)->service("s1")->coldPerSecond == 2.7);
+    CHECK((*state)->service("s2")->coldPerSecond == 0);
+}
+
 TEST_CASE("a server's entry is decoded from the platform's format")
 {
     auto entry = platform::documentsPort().decodeServer("i-1", server);
--- a/tests/test_rate_permits.cpp
+++ b/tests/test_rate_permits.cpp
@@ -18,13 +18,13 @@
     return 1.5 * perSecond * std::chrono::duration<double>(limitWindow).count() + 5;
 }
 
-std::size_t largestWindow(std::vector<TimePoint> sends)
+std::size_t largestWindow(std::vector<TimePoint> sends, Duration window = limitWindow)
 {
     std::sort(sends.begin(), sends.end());
     std::size_t largest = 0;
     auto first = sends.begin();
     for (auto last = sends.begin(); last != sends.end(); ++last) {
-        while (*last - *first > limitWindow)
+        while (*last - *first > window)
             ++first;
         largest = std::max(largest, static_cast<std::size_t>(last - first) + 1);
     }
@@ -53,6 +53,31 @@
     return sends;
 }
 
+/// Requests of `instances` for a cold server: all ask one holder, then half of them another one, as if they could no
+/// longer reach the first, and finally the others use their own parts of the rate.
+std::vector<TimePoint> sendsToColdServer(const ColdPermits& cold, std::size_t instances, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::exponential_distribution<double> gap(300);
+    std::vector<RatePermits> holders(2, RatePermits::create({}));
+    std::vector<RatePermits> own(instances, RatePermits::create({}));
+    std::vector<TimePoint> sends;
+    for (auto now = start; now < start + 6s;) {
+        now += Duration(static_cast<Duration::rep>(gap(random) * std::micro::den));
+        auto instance = random() % instances;
+        PermitRequest request { "server", 1000, 250ms, {}, {} };
+        cold.limit(request);
+        bool hasLostHolder = instance % 2 == 0 && now > start + 2s;
+        bool usesOwnPart = instance % 2 == 1 && now > start + 4s;
+        if (usesOwnPart)
+            request = ownShare(request, instances, std::uniform_real_distribution<double>(0, 1)(random));
+        auto reply = (usesOwnPart ? own[instance] : holders[hasLostHolder]).request(request, now);
+        if (reply.isGranted)
+            sends.push_back(now + reply.wait);
+    }
+    return sends;
+}
+
 PermitHolders holdersOf(unsigned domains, unsigned perDomain)
 {
     std::map<InstanceId, DomainId> members;
@@ -147,3 +172,36 @@
     CHECK(holders.holderOf("server", "d0", start + PermitHolders::Options().suspicionTime) == holder);
     CHECK_FALSE(holdersOf(0, 0).holderOf("server", "d0", start));
 }
+
+TEST_CASE("a cold server gets no more than its bound in any second when all instances choose it at once, although its "
+          "permits have two holders or none")
+{
+    auto instances = GENERATE(std::size_t { 8 }, std::size_t { 73 });
+    constexpr double perSecond = 2.7;
+    constexpr double bound = perSecond * 1.5 + 8;
+    auto cold = ColdPermits::create(perSecond, bound);
+    CHECK(cold.perSecond == perSecond);
+    for (unsigned server = 0; server < 57; ++server) {
+        CAPTURE(instances, server);
+        auto sends = sendsToColdServer(cold, instances, server);
+        CHECK(static_cast<double>(largestWindow(sends, 1s)) <= bound);
+        CHECK(static_cast<double>(sends.size()) >= 4 * perSecond);
+    }
+}
+
+TEST_CASE("two holders of a cold server's permits together keep to a bound without slack")
+{
+    constexpr double perSecond = 4;
+    auto cold = ColdPermits::create(perSecond, perSecond);
+    std::vector<TimePoint> sends;
+    for (int n = 0; n < 2; ++n) {
+        auto holder = RatePermits::create({});
+        for (auto now = start + n * 1300ms; now < start + 10s; now += 10ms) {
+            PermitRequest request { "server", 1000, 0ms, {}, {} };
+            cold.limit(request);
+            if (holder.request(request, now).isGranted)
+                sends.push_back(now);
+        }
+    }
+    CHECK(static_cast<double>(largestWindow(sends, 1s)) <= perSecond);
+}
--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -63,8 +63,9 @@
         hooks.countKey = [](const ServiceName&, KeyNumber) {};
         hooks.acquirePermit = [this](PermitRequest request, DomainId) -> awaitable<PermitReply> {
             permitRequests.push_back(request);
-            co_return PermitReply { true, 0ms };
+            co_return permitReply;
         };
+        hooks.coldPermits = [](const ServerId&) { return std::optional(ColdPermits { 2.7, 2 }); };
         hooks.metrics = metrics.get();
         RequestForwarder::Options options;
         options.evacuationWindow = evacuationWindow;
@@ -89,6 +90,7 @@
         dialect.keyNumber = "X-Key";
         dialect.parseLoad = [](std::string_view) { return std::optional<ports::ReportedLoad>(); };
         dialect.leaving = "X-Leaving";
+        dialect.warmupMs = "X-Warmup-Ms";
         dialect.retryAfter = "Retry-After";
         dialect.parseDecimal = [](std::string_view text) {
             return text.empty() ? std::optional<double>() : std::stod(std::string(text));
@@ -131,6 +133,7 @@
             entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
             entry.slots = 4;
             entry.domain = "d1";
+            entry.warmupRemaining = warmupRemaining;
             return entry;
         };
         return documents;
@@ -236,6 +239,8 @@
     bool closesAfterResponse = false;
     std::vector<Received> received;
     std::vector<PermitRequest> permitRequests;
+    PermitReply permitReply { true, 0ms };
+    std::chrono::milliseconds warmupRemaining { 0 }; ///< In the server's entry.
     Revision revision = 0;
     StoreEra era = 1;
     Catalog catalog { context, documents() };
@@ -406,3 +411,41 @@
     fixture.setEvacuated(false);
     CHECK(fixture.forward("/keyed/1", "ended").result_int() == 200);
 }
+
+TEST_CASE("requests to a cold server need permits, also if it names no limit, until its cold period ends")
+{
+    Fixture fixture([](const Received& request) {
+        return success(request, request.id == "cold again" ? "X-Warmup-Ms: 60000\r\n" : "");
+    });
+    fixture.forward("/safe/1", "warm");
+    CHECK(fixture.permitRequests.empty());
+    fixture.warmupRemaining = 300ms;
+    fixture.listServer(1);
+    fixture.forward("/safe/1", "cold");
+    REQUIRE(fixture.permitRequests.size() == 1);
+    CHECK(fixture.permitRequests[0].perSecond == 2.7);
+    fixture.context.run_for(400ms);
+    fixture.forward("/safe/1", "cold again");
+    CHECK(fixture.permitRequests.size() == 1);
+    fixture.forward("/safe/1", "last");
+    CHECK(fixture.permitRequests.size() == 2);
+}
+
+TEST_CASE("a request without a permit for a cold server is refused with the time of the next one if it has a key, and "
+          "tries a limited number of servers otherwise")
+{
+    Fixture fixture([](const Received& request) { return success(request); });
+    fixture.warmupRemaining = 60s;
+    fixture.listServer(1);
+    fixture.listOwner();
+    fixture.permitReply = { false, 1500ms };
+    auto keyed = fixture.forward("/keyed/1", "keyed");
+    CHECK(keyed.result_int() == 503);
+    CHECK(keyed[net::http::field::retry_after] == "1.50");
+    CHECK(fixture.permitRequests.size() == 1);
+    CHECK(fixture.forward("/unsafe/1", "any").result_int() == 503);
+    REQUIRE(fixture.permitRequests.size() == 5);
+    CHECK(fixture.permitRequests[1].maxWait == 0ms);
+    CHECK(fixture.permitRequests[4].maxWait > 0ms);
+    CHECK(fixture.received.empty());
+}
--- a/tests/test_server_directory.cpp
+++ b/tests/test_server_directory.cpp
@@ -72,6 +72,24 @@
     CHECK(directory.find("a")->isUsable());
 }
 
+TEST_CASE("the remaining cold period is counted from each entry or response, also of a server that gets cold again")
+{
+    auto directory = ServerDirectory::create({});
+    auto entry = entryOf("a", 1);
+    directory.update(entry, start, start);
+    CHECK(directory.find("a")->warmUntil <= start);
+    entry.warmupRemaining = 3s;
+    directory.update(entry, start + 60s, start + 60s);
+    CHECK(directory.find("a")->warmUntil == start + 63s);
+    entry.warmupRemaining = 2s;
+    directory.update(entry, start + 61s, start + 61s);
+    CHECK(directory.find("a")->warmUntil == start + 63s);
+    directory.noteWarmup({ "a", 1 }, 5s, start + 62s);
+    CHECK(directory.find("a")->warmUntil == start + 67s);
+    directory.noteWarmup({ "a", 2 }, 0s, start + 62s);
+    CHECK(directory.find("a")->warmUntil == start + 67s);
+}
+
 TEST_CASE("a draining server whose entry is removed is gone at once, even during a store outage")
 {
     auto directory = ServerDirectory::create({});
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -20,7 +20,8 @@
         { "seeds", "10.1.0.11:82,10.1.0.12:82" }, { "bounds.retry_budget_ratio", "0.2" },
         { "bounds.retry_budget_slack", "62" }, { "bounds.budget_window_s", "10" }, { "bounds.grace_s", "6" },
         { "limits.max_fds", "8192" }, { "limits.cpu_share", "0.1" }, { "bounds.drain_ms", "2500" },
-        { "bounds.hold_max_ms", "10000" }, { "bounds.evacuate_ms", "4000" } };
+        { "bounds.hold_max_ms", "10000" }, { "bounds.evacuate_ms", "4000" }, { "bounds.warmup_overage", "1.5" },
+        { "bounds.warmup_slack", "8" } };
 }
 
 /// Fills in the template as the platform does: a placeholder without a value becomes empty.
@@ -66,6 +67,8 @@
     CHECK(settings->cores == Approx(0.1));
     CHECK(settings->serverDrainTime == std::chrono::milliseconds(2500));
     CHECK(settings->keyGrantDuration == std::chrono::seconds(10));
+    CHECK(settings->warmupOverage == 1.5);
+    CHECK(settings->warmupSlack == 8);
     CHECK(settings->evacuationLimit == std::chrono::seconds(4));
 }
 
@@ -82,7 +85,7 @@
 {
     auto bound = GENERATE(as<std::string> {}, "bounds.retry_budget_ratio", "bounds.retry_budget_slack",
         "bounds.budget_window_s", "bounds.grace_s", "limits.max_fds", "limits.cpu_share", "bounds.drain_ms",
-        "bounds.hold_max_ms", "bounds.evacuate_ms", "seeds");
+        "bounds.hold_max_ms", "bounds.evacuate_ms", "bounds.warmup_overage", "bounds.warmup_slack", "seeds");
     auto fields = defaultFields();
     fields.erase(bound);
     CHECK(read(fields));
