--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -39,7 +39,8 @@
     unsigned maxConnections = 0; ///< To one server, from all instances; 0: not configured.
     bool isSharded = false; ///< Each key is owned by one server.
     std::chrono::milliseconds warmUp { 0 }; ///< Time for which a key that arrives without a handover is slow.
-    std::optional<double> warmupPerSecond; ///< Requests per second that a cold server takes; nothing: no limit.
+    std::optional<double>
+        warmupPerSecond; ///< Requests per second that a cold server takes from all instances; nothing: no limit.
 };
 
 /// @brief Bounds on what callers may send.
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -169,7 +169,7 @@
     group.serversAt = now;
     std::vector<SharedAdmission::Server> servers;
     auto add = [&](const KnownServer& server) {
-        bool isCold = now < server.listedAt + server.entry.warmupRemaining;
+        bool isCold = now < server.warmUntil;
         servers.push_back({ server.entry.run.id, std::max(1U, server.entry.slots),
             isCold || !m_hooks.isReachable(server.entry.run) });
     };
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -50,6 +50,7 @@
     Permits::Hooks permitHooks();
     Admission::Hooks admissionHooks();
     RequestForwarder::Hooks forwarderHooks();
+    [[nodiscard]] std::optional<ColdPermits> coldPermitsOf(const ServerId& id) const;
     KeyAssigner::Options keyAssignerOptions() const;
     RequestForwarder::Options forwarderOptions() const;
     boost::asio::awaitable<void> pruneLoop();
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -4,6 +4,7 @@
 #include "daemon/log.hpp"
 
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace acaciagauge::entry {
@@ -56,6 +57,9 @@
     constexpr double waitPartOfTarget = 0.75;
     constexpr auto minAdmissionWait = std::chrono::milliseconds(300);
 
+    /// Cold servers that a request may be refused by before it waits for one: each costs a call to another instance.
+    constexpr unsigned maxRefusedPermits = 3;
+
     /// Idle connections kept per server; a server works on few requests at once.
     constexpr std::size_t maxIdlePerServer = 6;
 
@@ -341,6 +345,12 @@
         // Copied, since the directory may change while this coroutine waits.
         auto admittance = co_await admit(pending, *found);
         const auto& server = admittance.server;
+        bool isAnotherTried = admittance.isRateLimited && !pending.key && coldPermitsOf(server.entry.run.id)
+            && ++pending.refusedPermits <= maxRefusedPermits;
+        if (isAnotherTried) {
+            pending.tried.insert(server.entry.run.id);
+            continue;
+        }
         if (!admittance.workId) {
             if (pending.history.mayHaveRun > 0)
                 co_return respondUnknown(pending, !admittance.isRateLimited && monotonicNow() >= pending.deadline);
@@ -499,15 +509,31 @@
     m_hooks.admission->end(*std::exchange(pending.grant, std::nullopt), ended);
 }
 
+std::optional<ColdPermits> RequestForwarder::coldPermitsOf(const ServerId& id) const
+{
+    const auto* server = m_catalog.servers().find(id);
+    bool isCold = server && monotonicNow() < server->warmUntil;
+    return isCold && m_hooks.coldPermits ? m_hooks.coldPermits(id) : std::nullopt;
+}
+
 // Returns nothing once the request may be sent; otherwise, when the server takes the next one.
 awaitable<std::optional<Duration>> RequestForwarder::waitForPermit(
     PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work)
 {
     auto id = server.entry.run.id;
     auto perSecond = m_upstreams.rateLimit(id);
-    if (!perSecond)
+    auto cold = coldPermitsOf(id);
+    if (!perSecond && !cold)
         co_return std::nullopt;
-    PermitRequest request { id, *perSecond, m_upstreams.waitLimit(server, work) };
+    PermitRequest request { id, perSecond.value_or(std::numeric_limits<double>::max()),
+        m_upstreams.waitLimit(server, work), {}, {} };
+    if (cold) {
+        cold->limit(request);
+        perSecond = request.perSecond;
+        // A request that another server can take does not wait for a cold one.
+        if (!pending.key && pending.refusedPermits < maxRefusedPermits)
+            request.maxWait = Duration::zero();
+    }
     auto reply = co_await m_hooks.acquirePermit(std::move(request), server.entry.domain);
     m_upstreams.noteNextPermit(id, reply.wait);
     if (!reply.isGranted) {
@@ -623,6 +649,9 @@
         ended.retryAfter = parseRetryAfter(result.response);
     m_upstreams.complete(server.entry.run.id, workId, ended);
     bool isStatement = isArrival(result.outcome) && result.outcome != SendOutcome::unknown && !result.isReplaced;
+    auto warmupMs = m_dialect.parseDecimal(headerOf(result.response, m_dialect.warmupMs));
+    if (isStatement && warmupMs)
+        m_catalog.noteWarmup(server.entry.run, std::chrono::duration<double, std::milli>(*warmupMs));
     if (isStatement && headerOf(result.response, m_dialect.leaving) == "1")
         m_catalog.noteLeaving(server.entry.run, "server");
     if (isStatement)
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -23,6 +23,8 @@
         /// Asks for the permission to send a request to a server with a rate limit.
         std::function<boost::asio::awaitable<PermitReply>(PermitRequest, DomainId)> acquirePermit;
         Admission* admission = nullptr; ///< Null: requests are not admitted by coordinators.
+        /// Returns the permits of a server while it is cold; nothing if its service has no limit for cold servers.
+        std::function<std::optional<ColdPermits>(const ServerId&)> coldPermits;
         daemon::Metrics* metrics = nullptr;
     };
 
@@ -69,6 +71,7 @@
         TimePoint deadline; ///< The caller does not wait for the response after this.
         SendHistory history;
         std::set<ServerId> tried;
+        unsigned refusedPermits = 0; ///< Cold servers that could not be used in time.
         std::set<std::uint64_t> connections; ///< That carried the request.
         ServerId lastServer;
         std::optional<Admission::Grant> grant; ///< A coordinator's admission of the present send.
@@ -102,6 +105,7 @@
     boost::asio::awaitable<std::optional<Admission::Reply>> askCoordinators(
         PendingRequest& pending, const KnownServer& server, const ConcurrencyLimiter::Work& work);
     void endAdmission(PendingRequest& pending, const SendResult& result, TimePoint sentAt);
+    [[nodiscard]] std::optional<ColdPermits> coldPermitsOf(const ServerId& id) const;
     const KnownServer* ownerOf(const PendingRequest& pending, std::string& reason, bool& mayChangeSoon) const;
     [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
     boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
