Key placement: moves off slow servers are not delayed by moves that follow noise

Rates of keys are averages over about four seconds, so that at some five requests a second and server half of all servers differ from the mean by more than the threshold of 1.2 by chance. With four moves at once the keys of slow servers waited for such moves. Where the desired state calls for coordination, an overloaded server has to exceed the mean by 1.5 standard deviations of the measured rate, and the moves at once grow with the servers.

test_key_placement: with 100 servers, 5 of them at half speed, the keys of the slow ones move and less than half of the other moves remain.

--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -44,6 +44,7 @@
 };
 struct KeyServicesChanged {
     std::set<ServiceName> services; ///< Services whose servers own keys.
+    bool isLoadUneven = false; ///< The desired state calls for coordination, see Options::unevenNoiseMargin.
 };
 struct KeyOrderEnded {
     std::uint64_t orderId = 0;
@@ -154,6 +155,9 @@
         std::size_t maxGrantsInFlight = 2; ///< For each server.
         std::size_t maxReleasesInFlight = 8; ///< For each server.
         KeyPlacement::Options placement;
+        double unevenNoiseMargin = 0; ///< KeyPlacement::Options::noiseMargin while the load is uneven.
+        double unevenMovesPerServer
+            = 0; ///< Moves of a service in progress at once, for each usable server, while the load is uneven.
         Duration rateLimitLifetime = std::chrono::seconds(2); ///< A rate limit that is not reported again ends.
         Duration planInterval = std::chrono::milliseconds(300); ///< Interval of planning moves.
     };
@@ -253,6 +257,7 @@
     OwnerChunk chunkContent(const ChunkId& id) const;
     KeyPlacement::Input placementInput(const ServiceName& name, const Service& service) const;
     double capacityOf(const KnownServer& server, const Service& service) const;
+    KeyPlacement::Options placementOptions(const KeyPlacement::Input& input) const;
     void dropEndedRateLimits(TimePoint now);
     const KnownServer* readyServer(const ServerRun& run) const;
     bool maySendOrder(const ServerId& server, bool isRelease) const;
@@ -264,6 +269,7 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastOrderId = 0;
     std::uint64_t m_lastChunkVersion = 0;
+    bool m_isLoadUneven = false;
     bool m_isWriteInFlight = false;
     bool m_isRecordingAgain = false; ///< Records were lost and are being written again.
     TimePoint m_nextWriteAt;
--- a/include/acaciagauge/detail/ownership/key_load.hpp
+++ b/include/acaciagauge/detail/ownership/key_load.hpp
@@ -21,6 +21,8 @@
     /// @brief Adds the requests that one instance counted.
     void add(const KeyCounts& counts, TimePoint now);
 
+    [[nodiscard]] Duration timeConstant() const { return m_options.timeConstant; }
+
     /// @brief Returns the requests per second to the keys of a range.
     /// @complexity O(log n + m) for n keys with a rate, m of them in the range
     [[nodiscard]] double rate(const KeyRange& range) const;
--- a/include/acaciagauge/detail/planning/key_placement.hpp
+++ b/include/acaciagauge/detail/planning/key_placement.hpp
@@ -9,6 +9,8 @@
 public:
     struct Options {
         double overloadRatio = 1.2; ///< A server above this multiple of the mean load is overloaded: keys move off it.
+        double noiseMargin = 0; ///< Excess over the mean, in standard deviations of the measured rate, up to which no
+                                ///< keys move.
         double minExcess = 0.6; ///< Excess over the mean, in requests per second and slot, up to which no keys move.
         double maxTargetLoadRatio
             = 0.85; ///< Target's load after a move over source's load before it; a move that exceeds this is not made.
@@ -35,7 +37,7 @@
     struct Input {
         std::vector<Server> servers;
         std::vector<Range> ranges;
-        const KeyLoad* load = nullptr;
+        const KeyLoad* load = nullptr; ///< Its rates are averages over about twice its time constant.
         std::size_t movesInProgress = 0;
     };
 
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -292,6 +292,7 @@
 
 void KeyAssigner::onServices(const KeyServicesChanged& event, TimePoint now)
 {
+    m_isLoadUneven = event.isLoadUneven;
     for (const auto& it : event.services)
         m_services.try_emplace(it, newService(now));
 }
@@ -376,6 +377,18 @@
     return capacity;
 }
 
+KeyPlacement::Options KeyAssigner::placementOptions(const KeyPlacement::Input& input) const
+{
+    auto options = m_options.placement;
+    if (!m_isLoadUneven)
+        return options;
+    auto usable = std::count_if(input.servers.begin(), input.servers.end(), [](const auto& it) { return it.isUsable; });
+    auto moves = static_cast<std::size_t>(static_cast<double>(usable) * m_options.unevenMovesPerServer);
+    options.maxMoves = std::max(options.maxMoves, moves);
+    options.noiseMargin = m_options.unevenNoiseMargin;
+    return options;
+}
+
 void KeyAssigner::dropEndedRateLimits(TimePoint now)
 {
     std::erase_if(
@@ -426,7 +439,9 @@
 
 void KeyAssigner::planMoves(const ServiceName& name, Service& service, TimePoint now)
 {
-    for (const auto& it : KeyPlacement::plan(m_options.placement, placementInput(name, service))) {
+    auto input = placementInput(name, service);
+    auto options = placementOptions(input);
+    for (const auto& it : KeyPlacement::plan(options, std::move(input))) {
         auto holder = std::prev(service.ranges.upper_bound(it.keys.from));
         if (holder->second.orderId != 0)
             continue;
--- a/src/core/planning/key_placement.cpp
+++ b/src/core/planning/key_placement.cpp
@@ -60,6 +60,14 @@
             return limit == m_maxRate.end() ? std::numeric_limits<double>::max() : limit->second - rate(id);
         }
 
+        /// Returns the standard deviation of the rate that would be measured at a server with the mean load, whose
+        /// requests arrive at random.
+        [[nodiscard]] double rateNoise(const ServerId& id) const
+        {
+            auto seconds = std::chrono::duration<double>(m_input.load->timeConstant()).count();
+            return std::sqrt(meanLoad() * capacity(id) / (2 * seconds));
+        }
+
         void moveWeight(const ServerId& from, const ServerId& to, double weight)
         {
             m_rate[from] -= weight;
@@ -344,8 +352,9 @@
     for (const auto& from : busiestFirst()) {
         while (mayPlanMove()) {
             auto mean = planned.meanLoad();
-            bool isOverloaded = planned.relativeLoad(from) > mean * options.overloadRatio
-                && planned.relativeLoad(from) - mean > options.minExcess;
+            auto excess = planned.relativeLoad(from) - mean;
+            bool isOverloaded = planned.relativeLoad(from) > mean * options.overloadRatio && excess > options.minExcess
+                && excess * planned.capacity(from) > options.noiseMargin * planned.rateNoise(from);
             auto move = isOverloaded ? planMoveFrom(options, input, planned, from) : std::nullopt;
             if (!move)
                 break;
--- a/src/entry/controller_role.cpp
+++ b/src/entry/controller_role.cpp
@@ -372,6 +372,7 @@
 {
     KeyServicesChanged services;
     if (m_catalog.desiredState()) {
+        services.isLoadUneven = m_catalog.desiredState()->callsForCoordination();
         for (const auto& it : m_catalog.desiredState()->services()) {
             if (it.second.isSharded)
                 services.services.insert(it.first);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -22,6 +22,11 @@
     /// Longest time between the last check of a server's status and the request's arrival there.
     constexpr auto deliveryMargin = std::chrono::milliseconds(700);
 
+    /// With uneven servers more keys are misplaced at once, and moves that follow random differences of the load would
+    /// delay the others.
+    constexpr double unevenNoiseMargin = 1.5;
+    constexpr double unevenMovesPerServer = 0.08;
+
     constexpr auto drainPollInterval = std::chrono::milliseconds(50);
     constexpr auto flushPollInterval = std::chrono::milliseconds(5);
     constexpr auto pruneInterval = std::chrono::seconds(10);
@@ -149,6 +154,8 @@
     KeyAssigner::Options options;
     options.grantDuration = m_settings.keyGrantDuration;
     options.renewInterval = m_settings.keyGrantDuration / 4;
+    options.unevenNoiseMargin = unevenNoiseMargin;
+    options.unevenMovesPerServer = unevenMovesPerServer;
     return options;
 }
 
--- a/tests/test_key_placement.cpp
+++ b/tests/test_key_placement.cpp
@@ -1,5 +1,6 @@
 #include <acaciagauge/acaciagauge.hpp>
 #include <catch2/catch.hpp>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace acaciagauge;
@@ -186,3 +187,39 @@
     CHECK(speeds.speed("fast") > 1.8);
     CHECK(speeds.speed("slow") < 0.75);
 }
+
+// Random differences of the load caused moves all the time, and the keys of slow servers waited for them.
+TEST_CASE("with a noise margin keys move off slow servers, and not because requests arrive at random")
+{
+    constexpr std::size_t count = 100;
+    constexpr std::size_t slowCount = 5;
+    constexpr double meanPerServer = 20; // In the load's time constant.
+    auto list = servers(count);
+    for (std::size_t n = 0; n < slowCount; ++n)
+        list[n].capacity = 1;
+    std::mt19937 random(1);
+    std::poisson_distribution<unsigned> requests(meanPerServer);
+    KeyCounts counts;
+    KeyPlacement::Input input;
+    input.servers = list;
+    // Divided as if all servers were equal: speeds are learned later.
+    input.ranges = KeyPlacement::divide(servers(count));
+    for (const auto& it : input.ranges)
+        counts[it.keys.from + it.keys.width() / 2] = requests(random);
+    auto load = loadOf(counts);
+    input.load = &load;
+    KeyPlacement::Options options;
+    options.maxMoves = count;
+    auto noisyMoves = KeyPlacement::plan(options, input).size();
+    options.noiseMargin = 2;
+    std::size_t fromSlow = 0;
+    auto moves = KeyPlacement::plan(options, input);
+    for (const auto& it : moves) {
+        auto owner = ownerOf(input, it.keys.from);
+        fromSlow
+            += std::any_of(list.begin(), list.begin() + slowCount, [&](const auto& slow) { return slow.id == owner; });
+    }
+    INFO("moves " << moves.size() << " of " << noisyMoves << ", off slow servers " << fromSlow);
+    CHECK(fromSlow >= slowCount - 1);
+    CHECK(moves.size() * 2 < noisyMoves);
+}
