--- a/tests/test_desired_state.cpp
+++ b/tests/test_desired_state.cpp
@@ -52,3 +52,15 @@
     });
     CHECK(holds);
 }
+
+TEST_CASE(
+    "only a rate limit of cold servers or large responses call for coordination, so earlier deployments keep theirs")
+{
+    auto route = rule("a", "a.example", "/");
+    ServiceConfig service;
+    CHECK_FALSE(DesiredState::create(1, { route }, { { "service", service } }, {})->callsForCoordination());
+    service.warmupPerSecond = 2.7;
+    CHECK(DesiredState::create(1, { route }, { { "service", service } }, {})->callsForCoordination());
+    route.hasLargeResponses = true;
+    CHECK(DesiredState::create(1, { route }, {}, {})->callsForCoordination());
+}
