--- a/bench/bench.hpp
+++ b/bench/bench.hpp
@@ -15,6 +15,9 @@
 /// messages and bytes.
 void runDisseminationBench();
 
+/// @brief Measures the cost of ServerSelector and compares methods of load balancing, in simulated time.
+void runSelectionBench();
+
 /// @brief Measures memory and CPU time per partition, server and message: the inputs of docs/CAPACITY.md.
 void runCostBench();
 
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -10,7 +10,7 @@
     using namespace acaciagauge::bench;
     const std::map<std::string, std::function<void()>> benches { { "unavailable", runUnavailabilityBench },
         { "placement", runPlacementBench }, { "admission", runAdmissionBench }, { "spread", runDisseminationBench },
-        { "slopes", runCostBench } };
+        { "selection", runSelectionBench }, { "slopes", runCostBench } };
     if (argc == 2 && benches.contains(argv[1])) {
         benches.at(argv[1])();
         return 0;
--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -34,6 +34,7 @@
 #include "acaciagauge/detail/routing/retry_share.hpp"
 #include "acaciagauge/detail/routing/route_table.hpp"
 #include "acaciagauge/detail/routing/send_policy.hpp"
+#include "acaciagauge/detail/routing/server_selector.hpp"
 #include "acaciagauge/detail/routing/shutdown_schedule.hpp"
 #include "acaciagauge/detail/store/store_mirror.hpp"
 #include "acaciagauge/detail/tickets/filing.hpp"
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
-for name in unavailable placement admission spread slopes; do
+for name in unavailable placement admission spread selection slopes; do
     printf '\n## %s\n\n' "$name"
     "$BUILD/acaciagauge_bench" "$name"
 done
--- /dev/null
+++ b/src/core/routing/server_selector.cpp
@@ -0,0 +1,115 @@
+#include "acaciagauge/acaciagauge.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace acaciagauge {
+
+namespace {
+
+    /// Part of a report that still holds after its age; cheap, since it is computed for every candidate.
+    double freshness(Duration age, Duration lifetime)
+    {
+        return static_cast<double>(lifetime.count()) / static_cast<double>(lifetime.count() + age.count());
+    }
+
+} // namespace
+
+double ServerSelector::serviceMicros(const Candidate& candidate) const
+{
+    auto slowdown = 1 + (candidate.slowdown - 1) * freshness(candidate.slowdownAge, m_options.slowdownLifetime);
+    return std::max(1.0, static_cast<double>(candidate.serviceTime.count())) * slowdown
+        * (candidate.isCold ? m_options.coldFactor : 1);
+}
+
+double ServerSelector::load(const Candidate& candidate) const
+{
+    auto fresh = freshness(candidate.reportAge, m_options.loadLifetime);
+    auto mean = (candidate.isLocal ? m_localMean : m_remoteMean) * candidate.slots;
+    return candidate.ownInFlight + candidate.reportedOthers * fresh + mean * (1 - fresh);
+}
+
+double ServerSelector::waitMicros(const Candidate& candidate) const
+{
+    auto rounds = std::max(0.0, load(candidate) + 1 - candidate.slots) / candidate.slots;
+    return serviceMicros(candidate) * rounds + static_cast<double>(candidate.permitWait.count());
+}
+
+double ServerSelector::cost(const Candidate& candidate, const Request& request) const
+{
+    auto crossDomain = request.hasLargeResponses ? m_options.largeResponseFactor : m_options.crossDomainFactor;
+    auto factor = candidate.isLocal ? 1 : crossDomain;
+    if (request.knowledge == Knowledge::onlyChooser)
+        return (serviceMicros(candidate) + waitMicros(candidate) * m_options.waitWeight) * factor;
+    // The draw has taken the speed into account already. Taking it into account again would overload fast servers.
+    auto permitRounds = static_cast<double>(candidate.permitWait.count()) / serviceMicros(candidate);
+    return ((load(candidate) + 1) / candidate.slots + permitRounds) * factor;
+}
+
+template <typename Filter>
+std::optional<std::size_t> ServerSelector::best(
+    std::span<const Candidate> candidates, const Request& request, Filter filter)
+{
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    auto offer = [&](std::size_t index) {
+        auto itsCost = cost(candidates[index], request);
+        if (!best || itsCost < bestCost) {
+            best = index;
+            bestCost = itsCost;
+        }
+    };
+    if (request.knowledge == Knowledge::onlyChooser) {
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            if (filter(candidates[n]))
+                offer(n);
+        }
+        return best;
+    }
+    double sum = 0;
+    m_cumulated.resize(candidates.size());
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        if (filter(candidates[n]))
+            sum += candidates[n].slots / serviceMicros(candidates[n]);
+        m_cumulated[n] = sum;
+    }
+    auto choices = request.knowledge == Knowledge::sharedReports ? m_options.sharedChoices : m_options.choices;
+    for (unsigned draw = 0; draw < choices && sum > 0; ++draw) {
+        auto at = static_cast<double>(m_random() >> 11U) * 0x1p-53 * sum;
+        auto found = std::upper_bound(m_cumulated.begin(), m_cumulated.end(), at);
+        if (found != m_cumulated.end())
+            offer(static_cast<std::size_t>(found - m_cumulated.begin()));
+    }
+    return best;
+}
+
+std::optional<std::size_t> ServerSelector::select(std::span<const Candidate> candidates, const Request& request)
+{
+    std::array<double, 2> others {};
+    std::array<double, 2> slots {};
+    bool hasUsable = false;
+    for (const auto& it : candidates) {
+        auto fresh = freshness(it.reportAge, m_options.loadLifetime);
+        others[it.isLocal] += it.reportedOthers * fresh;
+        slots[it.isLocal] += it.slots * fresh;
+        hasUsable |= !it.isAvoided;
+    }
+    m_localMean = slots[1] > 0 ? others[1] / slots[1] : 0;
+    m_remoteMean = slots[0] > 0 ? others[0] / slots[0] : 0;
+    auto isUsable = [&](const Candidate& it) { return !it.isAvoided || !hasUsable; };
+    auto local = best(candidates, request, [&](const Candidate& it) { return isUsable(it) && it.isLocal; });
+    if (local) {
+        const auto& found = candidates[*local];
+        auto fraction = request.hasLargeResponses ? m_options.largeResponseSpillFraction : m_options.spillFraction;
+        auto allowed = static_cast<double>(request.timeToTarget.count()) * fraction;
+        // A server that is slow now but has a free slot is no reason to leave the domain: only a wait is.
+        if (waitMicros(found) <= 0 || serviceMicros(found) + waitMicros(found) <= allowed)
+            return local;
+    }
+    auto remote = best(candidates, request, [&](const Candidate& it) { return isUsable(it) && !it.isLocal; });
+    if (!local || !remote)
+        return local ? local : remote;
+    return cost(candidates[*remote], request) < cost(candidates[*local], request) ? remote : local;
+}
+
+} // namespace acaciagauge
