--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -180,9 +180,19 @@
         const auto& dialect = values.text("platform.dialect");
         if (dialect != "own" && dialect != "users")
             return "platform.dialect: must be own or users, found \"" + dialect + "\"";
+        const auto& coordination = values.text("balancing.coordination");
+        if (coordination != "auto" && coordination != "on" && coordination != "off")
+            return "balancing.coordination: must be auto, on or off, found \"" + coordination + "\"";
         return std::nullopt;
     }
 
+    Coordination toCoordination(const std::string& text)
+    {
+        if (text == "auto")
+            return Coordination::automatic;
+        return text == "on" ? Coordination::on : Coordination::off;
+    }
+
     Settings toSettings(const ValidatedValues& values)
     {
         Settings settings;
@@ -203,6 +213,7 @@
         settings.gossipInterval = values.milliseconds("relay.interval_ms");
         settings.tracePercent = values.count("trace.percent");
         settings.logLevel = values.text("log.level");
+        settings.coordination = toCoordination(values.text("balancing.coordination"));
         auto& timing = settings.ownership;
         timing.heartbeat = values.milliseconds("ownership.heartbeat_ms");
         timing.grantDuration = values.milliseconds("ownership.grant_ms");
@@ -255,6 +266,10 @@
         { "retry", "ratio", "0.2", 0, 10, "Retries per request to a service, of all instances together." },
         { "retry", "allowance", "50", 0, 1000000, "Additional retries per window, of all instances together." },
         { "retry", "window_s", "10", 0.1, 600, "Window of the retry budget, in s." },
+        { "balancing", "coordination", "auto", 0, 0,
+            "Coordinated load balancing: on, off, or auto (while the desired state has a service with warmup_per_s or "
+            "a "
+            "route of kind download)." },
         { "leaving", "server_drain_ms", "2000", 0, 600000, "A leaving server gets no request later than this, in ms." },
         { "leaving", "grace_s", "6", 0.5, 600, "Time from SIGTERM to the end of this process, in s." },
         { "trace", "percent", "1", 0, 100,
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -19,6 +19,13 @@
     [[nodiscard]] bool isNumber() const { return min < max; }
 };
 
+/// @brief When instances coordinate admission and load balancing.
+enum class Coordination {
+    automatic, ///< While the desired state calls for it.
+    on,
+    off,
+};
+
 /// @brief All settings of a daemon.
 struct Settings {
     InstanceId instance;
@@ -37,6 +44,7 @@
     std::chrono::milliseconds leaveGrace { 1000 }; ///< From announcing to leave until closing.
     std::chrono::milliseconds gossipInterval { 200 };
     std::size_t tracePercent = 1;
+    Coordination coordination = Coordination::automatic;
     std::string logLevel = "info";
     OwnershipTiming ownership;
 
