--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,7 @@
     unsigned maxConnections = 0; ///< To one server, from all instances; 0: not configured.
     bool isSharded = false; ///< Each key is owned by one server.
     std::chrono::milliseconds warmUp { 0 }; ///< Time for which a key that arrives without a handover is slow.
+    std::optional<double> warmupPerSecond; ///< Requests per second that a cold server takes from all instances.
 };
 
 /// @brief Bounds on what callers may send.
@@ -65,6 +67,10 @@
     /// @brief Finds a service; null if it is not configured.
     [[nodiscard]] const ServiceConfig* service(const ServiceName& name) const;
 
+    /// @brief Returns true if the configuration calls for coordinated load balancing: a service limits the requests to
+    /// cold servers, or a route has large responses.
+    [[nodiscard]] bool coordinatesLoad() const;
+
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::map<ServiceName, ServiceConfig>& services() const { return m_services; }
     [[nodiscard]] const CallerLimits& limits() const { return m_limits; }
--- a/src/core/config/desired_state.cpp
+++ b/src/core/config/desired_state.cpp
@@ -49,6 +49,16 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
+bool DesiredState::coordinatesLoad() const
+{
+    bool hasWarmupLimit = std::any_of(
+        m_services.begin(), m_services.end(), [](const auto& it) { return it.second.warmupPerSecond.has_value(); });
+    return hasWarmupLimit || std::any_of(m_routes.begin(), m_routes.end(), [](const auto& it) {
+        return std::any_of(
+            it.second.begin(), it.second.end(), [](const RouteConfig& route) { return route.hasLargeResponses; });
+    });
+}
+
 const WeightedService& WeightedRoundRobin::next(const RouteConfig& route)
 {
     if (route.services.size() == 1)
