--- a/src/core/routing/server_selector.cpp
+++ b/src/core/routing/server_selector.cpp
@@ -1,7 +1,6 @@
 #include "acaciagauge/acaciagauge.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace acaciagauge {
 
@@ -17,15 +16,18 @@
 
 double ServerSelector::serviceMicros(const Candidate& candidate) const
 {
-    auto slowdown = 1 + (candidate.slowdown - 1) * freshness(candidate.slowdownAge, m_options.slowdownLifetime);
-    return std::max(1.0, static_cast<double>(candidate.serviceTime.count())) * slowdown
-        * (candidate.isCold ? m_options.coldFactor : 1);
+    auto micros = std::max(1.0, static_cast<double>(candidate.serviceTime.count()));
+    if (candidate.slowdown != 1)
+        micros *= 1 + (candidate.slowdown - 1) * freshness(candidate.slowdownAge, m_options.slowdownLifetime);
+    return candidate.isCold ? micros * m_options.coldFactor : micros;
 }
 
 double ServerSelector::load(const Candidate& candidate) const
 {
-    auto fresh = freshness(candidate.reportAge, m_options.loadLifetime);
     auto mean = (candidate.isLocal ? m_localMean : m_remoteMean) * candidate.slots;
+    if (candidate.reportedOthers == mean)
+        return candidate.ownInFlight + mean;
+    auto fresh = freshness(candidate.reportAge, m_options.loadLifetime);
     return candidate.ownInFlight + candidate.reportedOthers * fresh + mean * (1 - fresh);
 }
 
@@ -39,8 +41,13 @@
 {
     auto crossDomain = request.hasLargeResponses ? m_options.largeResponseFactor : m_options.crossDomainFactor;
     auto factor = candidate.isLocal ? 1 : crossDomain;
-    if (request.knowledge == Knowledge::onlyChooser)
-        return (serviceMicros(candidate) + waitMicros(candidate) * m_options.waitWeight) * factor;
+    if (request.knowledge == Knowledge::onlyChooser) {
+        auto excess = load(candidate) + 1 - candidate.slots;
+        auto rounds = excess > 0 ? excess / candidate.slots : 0;
+        auto permitWait = static_cast<double>(candidate.permitWait.count());
+        return (serviceMicros(candidate) * (1 + rounds * m_options.waitWeight) + permitWait * m_options.waitWeight)
+            * factor;
+    }
     // The draw has taken the speed into account already. Taking it into account again would overload fast servers.
     auto permitRounds = static_cast<double>(candidate.permitWait.count()) / serviceMicros(candidate);
     return ((load(candidate) + 1) / candidate.slots + permitRounds) * factor;
@@ -85,17 +92,27 @@
 
 std::optional<std::size_t> ServerSelector::select(std::span<const Candidate> candidates, const Request& request)
 {
-    std::array<double, 2> others {};
-    std::array<double, 2> slots {};
+    double others = 0;
+    double localOthers = 0;
+    double slots = 0;
+    double localSlots = 0;
     bool hasUsable = false;
+    // Where nobody else chooses, a report of others' requests fades to none.
+    bool hasOthers = request.knowledge != Knowledge::onlyChooser;
     for (const auto& it : candidates) {
-        auto fresh = freshness(it.reportAge, m_options.loadLifetime);
-        others[it.isLocal] += it.reportedOthers * fresh;
-        slots[it.isLocal] += it.slots * fresh;
         hasUsable |= !it.isAvoided;
+        if (!hasOthers)
+            continue;
+        auto fresh = freshness(it.reportAge, m_options.loadLifetime);
+        auto itsOthers = it.reportedOthers * fresh;
+        auto itsSlots = it.slots * fresh;
+        others += itsOthers;
+        localOthers += it.isLocal ? itsOthers : 0;
+        slots += itsSlots;
+        localSlots += it.isLocal ? itsSlots : 0;
     }
-    m_localMean = slots[1] > 0 ? others[1] / slots[1] : 0;
-    m_remoteMean = slots[0] > 0 ? others[0] / slots[0] : 0;
+    m_localMean = localSlots > 0 ? localOthers / localSlots : 0;
+    m_remoteMean = slots > localSlots ? std::max(0.0, others - localOthers) / (slots - localSlots) : 0;
     auto isUsable = [&](const Candidate& it) { return !it.isAvoided || !hasUsable; };
     auto local = best(candidates, request, [&](const Candidate& it) { return isUsable(it) && it.isLocal; });
     if (local) {
