Select servers with ServerSelector where load balancing is coordinated

Upstreams::choose takes a SelectionPolicy; RequestForwarder sets it from [balancing] coordination and DesiredState::coordinatesLoad(). Without coordination the choice is as before. The slowdown that servers report is kept for each server. A server that nothing was sent to gets no state in the coordinated selection. test_request_forwarder and test_platform_codec pass; not measured with processes.

--- a/include/acaciagauge/detail/admission/concurrency_limiter.hpp
+++ b/include/acaciagauge/detail/admission/concurrency_limiter.hpp
@@ -99,6 +99,10 @@
 
     /// @brief Returns the estimated number of requests that other instances have in flight at the server.
     [[nodiscard]] double othersInFlight(TimePoint now) const;
+    /// @brief Returns the requests of other instances at the server, as last reported.
+    [[nodiscard]] double reportedOthers() const { return m_reportedOthers; }
+    [[nodiscard]] Duration reportAge(TimePoint now) const { return now - m_reportedAt; }
+
     [[nodiscard]] Duration serviceTime() const;
 
 private:
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -129,6 +129,7 @@
     options.defaultDeadline = m_settings.defaultDeadline;
     options.drainWindow = std::max(std::chrono::milliseconds(0), m_settings.serverDrainTime - deliveryMargin);
     options.retries = m_settings.retries;
+    options.coordination = m_settings.coordination;
     // The remaining quarter is for connections in use.
     options.maxIdleConnections = connectionShare(m_settings) * 3 / 4;
     return options;
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -204,6 +204,7 @@
         timeout = std::min(timeout, routeConfig->timeout);
     pending.routeName = routeConfig->name;
     pending.priority = routeConfig->priority;
+    pending.hasLargeResponse = routeConfig->hasLargeResponses;
     pending.deadline = pending.started + timeout - responseMargin;
     pending.latencyTarget = pending.started + routeConfig->targetLatency;
     pending.service = m_serviceSelector.next(*routeConfig).service;
@@ -287,14 +288,28 @@
     return server && server->entry.run == run && !isPastDrainWindow(*server) && !m_upstreams.isPaused(run.id);
 }
 
+SelectionPolicy RequestForwarder::selectionPolicy() const
+{
+    const auto& state = m_catalog.desiredState();
+    bool isCoordinated = m_options.coordination == daemon::Coordination::automatic
+        ? state && state->coordinatesLoad()
+        : m_options.coordination == daemon::Coordination::on;
+    return isCoordinated ? SelectionPolicy::coordinated : SelectionPolicy::leastExpectedTime;
+}
+
+const KnownServer* RequestForwarder::chooseServer(const PendingRequest& pending)
+{
+    ServerSelector::Request request { pending.latencyTarget - monotonicNow(), pending.hasLargeResponse };
+    return m_upstreams.choose(pending.service, pending.tried, selectionPolicy(), request);
+}
+
 // Returns null and sets pending.cause if no server becomes available in time.
 awaitable<const KnownServer*> RequestForwarder::findServer(PendingRequest& pending)
 {
     auto waitUntil = std::min(serverDeadline(pending), monotonicNow() + maxOwnerWait);
     while (true) {
         bool mayChangeSoon = true;
-        const auto* server = pending.key ? ownerOf(pending, pending.cause, mayChangeSoon)
-                                         : m_upstreams.choose(pending.service, pending.tried);
+        const auto* server = pending.key ? ownerOf(pending, pending.cause, mayChangeSoon) : chooseServer(pending);
         if (!server && !pending.key)
             pending.cause = "service " + pending.service + " has no ready server";
         bool isUnreachable = server && pending.key && !m_upstreams.isReachable(server->entry.run);
@@ -483,6 +498,8 @@
     auto load = m_dialect.parseLoad(headerOf(result.response, m_dialect.load));
     if (load)
         ended.reportedLoad = load->running + load->waiting;
+    if (load)
+        m_upstreams.noteSlowdown(server.entry.run.id, load->slowdown);
     if (result.response.result() == http::status::service_unavailable)
         ended.retryAfter = parseRetryAfter(result.response);
     m_upstreams.complete(server.entry.run.id, workId, ended);
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/metrics.hpp"
+#include "daemon/settings.hpp"
 #include "entry/upstreams.hpp"
 
 namespace acaciagauge::entry {
@@ -13,6 +14,7 @@
         std::chrono::milliseconds defaultDeadline { 2000 }; ///< For requests without a deadline header.
         std::chrono::milliseconds drainWindow { 1300 }; ///< A draining or gone owner still gets requests this long.
         RetryShare::Options retries;
+        daemon::Coordination coordination = daemon::Coordination::automatic;
         std::size_t maxIdleConnections = 1024; ///< In total, to all servers.
     };
 
@@ -58,6 +60,7 @@
         std::optional<KeyNumber> key;
         std::uint64_t version = 0; ///< Version of the desired state that it was routed by.
         unsigned priority = 0;
+        bool hasLargeResponse = false; ///< Its route's responses are large.
         TimePoint started;
         TimePoint latencyTarget; ///< Latency objective; a later response is worth less to the caller.
         TimePoint deadline; ///< The caller does not wait for the response after this.
@@ -87,6 +90,8 @@
     [[nodiscard]] TimePoint serverDeadline(const PendingRequest& pending) const;
     boost::asio::awaitable<void> sleepUntilShutdownEnds(Duration time);
     [[nodiscard]] bool isPastDrainWindow(const KnownServer& server) const;
+    [[nodiscard]] SelectionPolicy selectionPolicy() const;
+    const KnownServer* chooseServer(const PendingRequest& pending);
     [[nodiscard]] bool mayBeSentTo(const ServerRun& run) const;
     boost::asio::awaitable<SendResult> send(PendingRequest& pending, KnownServer server, std::uint64_t workId);
     net::Request buildRequest(const PendingRequest& pending, const KnownServer& server) const;
--- a/src/entry/upstreams.cpp
+++ b/src/entry/upstreams.cpp
@@ -44,7 +44,8 @@
     ConcurrencyLimiter::Options options;
     options.slots = std::max(1U, server.entry.slots);
     return m_upstreams
-        .emplace(server.entry.run.id, Upstream { ConcurrencyLimiter::create(options), {}, 0, {}, false, {}, {}, {} })
+        .emplace(
+            server.entry.run.id, Upstream { ConcurrencyLimiter::create(options), {}, 0, {}, false, {}, {}, {}, 1, {} })
         .first->second;
 }
 
@@ -130,9 +131,54 @@
     return cost;
 }
 
-const KnownServer* Upstreams::choose(const ServiceName& service, const std::set<ServerId>& avoid)
+// A server that this instance has sent nothing to gets no state: the state grows with the servers in use.
+ServerSelector::Candidate Upstreams::candidate(const KnownServer& server, TimePoint now) const
+{
+    ServerSelector::Candidate candidate;
+    candidate.slots = std::max(1U, server.entry.slots);
+    candidate.serviceTime = ConcurrencyLimiter::Options().initialServiceTime;
+    candidate.reportAge = std::chrono::hours(1);
+    candidate.isLocal = server.entry.domain == m_domain;
+    candidate.isCold = now < server.listedAt + server.entry.warmupRemaining;
+    auto it = m_upstreams.find(server.entry.run.id);
+    if (it == m_upstreams.end())
+        return candidate;
+    const auto& upstream = it->second;
+    candidate.serviceTime = upstream.limiter.serviceTime();
+    candidate.ownInFlight = static_cast<double>(upstream.limiter.inFlight() + upstream.limiter.waiting());
+    candidate.reportedOthers = upstream.limiter.reportedOthers();
+    candidate.reportAge = upstream.limiter.reportAge(now);
+    candidate.slowdown = upstream.slowdown;
+    candidate.slowdownAge = now - upstream.slowdownAt;
+    candidate.permitWait = std::max(Duration::zero(), upstream.nextPermitAt - now);
+    candidate.isAvoided
+        = !isReachable(server.entry.run) || upstream.limiter.isStuck(now) || upstream.limiter.isPaused(now);
+    return candidate;
+}
+
+void Upstreams::noteSlowdown(const ServerId& server, double slowdown)
+{
+    auto it = m_upstreams.find(server);
+    if (it == m_upstreams.end())
+        return;
+    it->second.slowdown = slowdown;
+    it->second.slowdownAt = monotonicNow();
+}
+
+const KnownServer* Upstreams::choose(const ServiceName& service, const std::set<ServerId>& avoid,
+    SelectionPolicy policy, const ServerSelector::Request& request)
 {
     auto now = monotonicNow();
+    if (policy == SelectionPolicy::coordinated) {
+        auto servers = m_catalog.readyServers(service);
+        m_candidates.clear();
+        for (const auto* it : servers) {
+            m_candidates.push_back(candidate(*it, now));
+            m_candidates.back().isAvoided |= avoid.contains(it->entry.run.id);
+        }
+        auto selected = m_selector.select(m_candidates, request);
+        return selected ? servers[*selected] : nullptr;
+    }
     const KnownServer* best = nullptr;
     double bestCost = 0;
     // Random jitter breaks ties: without it, all instances would choose the same server.
--- a/src/entry/upstreams.hpp
+++ b/src/entry/upstreams.hpp
@@ -7,6 +7,12 @@
 
 namespace acaciagauge::entry {
 
+/// @brief How the server for a request is selected that any server may serve.
+enum class SelectionPolicy {
+    leastExpectedTime, ///< The least expected time of all servers, as this instance estimates it.
+    coordinated, ///< ServerSelector, for deployments whose load is uneven.
+};
+
 /// @brief This instance's state of each server: admission control, and whether it is reachable.
 class Upstreams {
 public:
@@ -14,8 +20,13 @@
 
     /// @brief Chooses the best server of a service that is not sharded.
     /// @param avoid servers to choose only if there is no other
+    /// @param request used by SelectionPolicy::coordinated
     /// @return null if the service has no ready server
-    const KnownServer* choose(const ServiceName& service, const std::set<ServerId>& avoid);
+    const KnownServer* choose(const ServiceName& service, const std::set<ServerId>& avoid,
+        SelectionPolicy policy = SelectionPolicy::leastExpectedTime, const ServerSelector::Request& request = {});
+
+    /// @brief Records how much longer than usual work takes on the server's machine, as it reports.
+    void noteSlowdown(const ServerId& server, double slowdown);
 
     /// @brief Waits until a request may be sent to the server.
     /// @return id of the admitted work; nullopt if it was refused
@@ -81,12 +92,15 @@
         std::optional<ServerRun> replacedRun; ///< Run whose address has passed to another process.
         std::optional<double> rateLimit; ///< Requests per second that the server takes from all instances together.
         TimePoint nextPermitAt; ///< With a rate limit: when the next request can be sent, as last heard.
+        double slowdown = 1;
+        TimePoint slowdownAt;
     };
 
     Upstream& upstreamOf(const KnownServer& server);
     void wake(Upstream& upstream);
     boost::asio::awaitable<void> wakeLoop(ServerId id);
     [[nodiscard]] double cost(const KnownServer& server, TimePoint now);
+    [[nodiscard]] ServerSelector::Candidate candidate(const KnownServer& server, TimePoint now) const;
 
     boost::asio::io_context& m_context;
     DomainId m_domain;
@@ -96,6 +110,8 @@
     std::map<ServerId, double> m_statedLimits; ///< Rate limits that responses stated since the last report.
     std::uint64_t m_lastWorkId = 0;
     std::mt19937_64 m_random { std::random_device {}() };
+    ServerSelector m_selector = ServerSelector::create({}, [this] { return m_random(); });
+    std::vector<ServerSelector::Candidate> m_candidates; ///< Of the selection in progress.
 };
 
 } // namespace acaciagauge::entry
