--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -168,6 +168,25 @@
     CHECK_FALSE(withKind("upload").hasLargeResponses);
 }
 
+// Fails if a deployment is taken for another kind: coordination applies only where the configuration calls for it.
+TEST_CASE("a limit for cold servers or a download route calls for coordinated load balancing")
+{
+    auto decode
+        = [](const nlohmann::json& document) { return *platform::documentsPort().decodeDesiredState(document.dump()); };
+    auto document = nlohmann::json::parse(configuration);
+    CHECK_FALSE(decode(document)->coordinatesLoad());
+    auto download = document;
+    download["routes"]["rows"][1][3] = "download";
+    CHECK(decode(download)->coordinatesLoad());
+    document["services"]["columns"].push_back("warmup_per_s");
+    document["services"]["rows"][0].push_back(nullptr);
+    CHECK_FALSE(decode(document)->coordinatesLoad());
+    document["services"]["rows"][0].back() = 2.7;
+    CHECK(decode(document)->coordinatesLoad());
+    CHECK(decode(document)->service("s1")->warmupPerSecond == 2.7);
+    CHECK_FALSE(decode(document)->service("s2")->warmupPerSecond);
+}
+
 TEST_CASE("owner records round-trip through their encoding; overlapping ranges are refused")
 {
     bool holds = rc::check("owners", [] {
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -93,6 +93,18 @@
     CHECK(readWith("bounds.grace_s", "false")->terminationGracePeriod == std::chrono::seconds(6));
 }
 
+TEST_CASE("coordination is automatic unless it is set")
+{
+    auto coordination = [](const std::string& line) {
+        return parseSettings("settings.toml", render(defaultFields()) + "\n[balancing]\n" + line);
+    };
+    CHECK(coordination("")->coordination == Coordination::automatic);
+    CHECK(coordination("coordination = auto")->coordination == Coordination::automatic);
+    CHECK(coordination("coordination = on")->coordination == Coordination::on);
+    CHECK(coordination("coordination = off")->coordination == Coordination::off);
+    CHECK_FALSE(coordination("coordination = true"));
+}
+
 TEST_CASE("the error for an invalid setting names the file, line, key, allowed range and value found")
 {
     auto settings = readWith("bounds.grace_s", "soon");
