--- a/src/daemon/rpc_node.cpp
+++ b/src/daemon/rpc_node.cpp
@@ -121,7 +121,7 @@
         {
             auto in = context.getParams().getRequest();
             PermitRequest request { in.getServer(), in.getPerSecond(),
-                Duration(static_cast<Duration::rep>(in.getMaxWaitMicros())) };
+                Duration(static_cast<Duration::rep>(in.getMaxWaitMicros())), {}, {} };
             auto answer = m_loop.awaitFromOutside<PermitReply>([&](std::function<void(PermitReply)> done) {
                 m_loop.hooks.onPermit(std::move(request), std::move(done));
             });
