--- a/tests/test_request_forwarder.cpp
+++ b/tests/test_request_forwarder.cpp
@@ -143,7 +143,7 @@
     void listServer(int startedMs)
     {
         ++revision;
-        StoreDelta delta { revision, false, {}, std::nullopt, 1 };
+        StoreDelta delta { revision, false, {}, std::nullopt, era };
         delta.changes.push_back({ { "configuration", "1", revision }, false });
         delta.changes.push_back({ { "servers/s", std::to_string(startedMs), revision }, false });
         catalog.apply(std::move(delta), "watch", monotonicNow());
@@ -153,7 +153,7 @@
     void listOwner()
     {
         ++revision;
-        StoreDelta delta { revision, false, {}, std::nullopt, 1 };
+        StoreDelta delta { revision, false, {}, std::nullopt, era };
         auto owners = encodeOwnerChunk({ 1, { { { 0, keysPerChunk - 1 }, { "s", 1 } } } });
         delta.changes.push_back({ { ownersKey({ "sharded", 0 }), owners, revision }, false });
         catalog.apply(std::move(delta), "watch", monotonicNow());
@@ -242,7 +242,7 @@
     PermitReply permitReply { true, 0ms };
     std::chrono::milliseconds warmupRemaining { 0 }; ///< In the server's entry.
     Revision revision = 0;
-    StoreEra era = 1;
+    StoreEra era = 0;
     Catalog catalog { context, documents() };
     std::unique_ptr<daemon::Metrics> metrics = daemon::Metrics::create();
     std::unique_ptr<RequestForwarder> forwarder;
