Check configurations and compare them with the version in force

Cause: a faulty configuration document was noticed only when it was in force, by refused requests; entries without effect and contradicting limits were not noticed at all. Change: checkConfiguration() returns errors and warnings, compareConfigurations() the differences from the version in force and an error if the version is not higher. DesiredState gives access to its routes, and keeps the names of services that the document lists more than once, which the decoder had dropped; matching is unchanged.

--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -13,6 +13,7 @@
 #include "acaciagauge/detail/common/ids.hpp"
 #include "acaciagauge/detail/common/result.hpp"
 #include "acaciagauge/detail/common/time.hpp"
+#include "acaciagauge/detail/config/configuration_check.hpp"
 #include "acaciagauge/detail/config/desired_state.hpp"
 #include "acaciagauge/detail/keyspace/partition.hpp"
 #include "acaciagauge/detail/membership/server_directory.hpp"
--- a/include/acaciagauge/detail/config/desired_state.hpp
+++ b/include/acaciagauge/detail/config/desired_state.hpp
@@ -52,8 +52,10 @@
 class DesiredState {
 public:
     /// @brief Creates a configuration; indexes the routes for match().
+    /// @param repeatedServices names that the document lists more than once; the last entry of each is in `services`
     static std::shared_ptr<const DesiredState> create(std::uint64_t version, std::vector<RouteConfig> routes,
-        std::map<ServiceName, ServiceConfig> services, CallerLimits limits);
+        std::map<ServiceName, ServiceConfig> services, CallerLimits limits,
+        std::vector<ServiceName> repeatedServices = {});
 
     /// @brief Finds the route of a request: the one of its host with the longest matching path prefix.
     /// @param host value of the Host header; case and port are ignored
@@ -70,6 +72,16 @@
     [[nodiscard]] const CallerLimits& limits() const { return m_limits; }
     [[nodiscard]] std::size_t routeCount() const { return m_routeCount; }
 
+    /// @brief Returns the routes by host (lower case, without port): the longest prefix first, equal prefixes in the
+    /// document's order.
+    [[nodiscard]] const std::map<std::string, std::vector<RouteConfig>, std::less<>>& routes() const
+    {
+        return m_routes;
+    }
+
+    /// @brief Returns the names that the document lists more than once.
+    [[nodiscard]] const std::vector<ServiceName>& repeatedServices() const { return m_repeatedServices; }
+
 private:
     DesiredState() = default;
 
@@ -78,6 +90,7 @@
     std::map<std::string, std::vector<RouteConfig>, std::less<>> m_routes; ///< By host, longest prefix first.
     std::map<ServiceName, ServiceConfig> m_services;
     CallerLimits m_limits;
+    std::vector<ServiceName> m_repeatedServices;
 };
 
 /// @brief Distributes the requests of a route to its services by weight, evenly over any number of requests.
--- a/src/core/config/desired_state.cpp
+++ b/src/core/config/desired_state.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 std::shared_ptr<const DesiredState> DesiredState::create(std::uint64_t version, std::vector<RouteConfig> routes,
-    std::map<ServiceName, ServiceConfig> services, CallerLimits limits)
+    std::map<ServiceName, ServiceConfig> services, CallerLimits limits, std::vector<ServiceName> repeatedServices)
 {
     std::shared_ptr<DesiredState> state(new DesiredState());
     state->m_version = version;
@@ -28,6 +28,7 @@
             [](const auto& a, const auto& b) { return a.prefix.size() > b.prefix.size(); });
     state->m_services = std::move(services);
     state->m_limits = limits;
+    state->m_repeatedServices = std::move(repeatedServices);
     return state;
 }
 
