acaciagaugectl check: check a configuration file without a daemon

Cause: operators had no way to examine a configuration document before they write it to the store. Change: `acaciagaugectl check FILE [--against VERSION-FILE] [--json]` prints the findings and the differences from the version in force.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -378,6 +378,8 @@
         return diffTickets(options);
     case Command::listTickets:
         return listTickets(options);
+    case Command::checkConfiguration:
+        return checkConfigurationFile(options);
     }
     return exitBadInput;
 }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -37,6 +37,11 @@
     auto* owner = addCommand(app, "owner", "Show the owner of a key", command, Command::owner);
     owner->add_option("service", options.service, "Name of the service")->required();
     owner->add_option("key", options.key, "Key")->required();
+    auto* configuration
+        = addCommand(app, "check", "Check a configuration file without a daemon", command, Command::checkConfiguration);
+    configuration->add_option("file", options.configurationPath, "JSON file with the configuration")->required();
+    configuration->add_option(
+        "--against", options.versionPath, "JSON file with the version in force; lists the differences from it");
     auto* ticket = app.add_subcommand("ticket", "File, check and show change tickets");
     ticket->require_subcommand(1);
     auto* file
--- a/tests/test_configuration_check.cpp
+++ b/tests/test_configuration_check.cpp
@@ -1,6 +1,11 @@
-#include <acaciagauge/acaciagauge.hpp>
+#include "ctl/commands.hpp"
+#include "platform/platform.hpp"
+
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <functional>
+#include <unistd.h>
 
 using namespace acaciagauge;
 using namespace std::chrono_literals;
@@ -90,6 +95,13 @@
     { [](auto& d) { d.limits.idleTimeout = 2999ms; }, FindingSeverity::warning, "limits", "above the idle timeout" },
 };
 
+std::string writeFile(const std::string& name, const std::string& text)
+{
+    auto path = std::filesystem::temp_directory_path() / ("acaciagauge-check-" + std::to_string(getpid()) + name);
+    std::ofstream(path) << text;
+    return path;
+}
+
 } // namespace
 
 // Guards against faults that would be seen only when the configuration is in force.
@@ -149,3 +161,41 @@
             "removed|route b|||", "added|route c|||", "changed|service s1|sharded|false|true", "removed|service s2|||",
             "added|service s3|||", "changed|limits|body bytes|1048576|5" });
 }
+
+// Guards against scripts that take a faulty or unreadable file for a correct one.
+TEST_CASE("the exit code of a check tells clean files, warnings, errors and unreadable files apart")
+{
+    const std::string services = R"("services":{"columns":["name"],"rows":[["s1"])";
+    auto file = [&](const std::string& name, int version, const std::string& moreServices) {
+        return writeFile(name,
+            R"({"version":)" + std::to_string(version)
+                + R"(,"routes":{"columns":["name","hostname","prefix","route_type","timeout_ms","service"],
+                "rows":[["r1","a.example","/x/","safe",1500,"s1"]]},)"
+                + services + moreServices + "]}}");
+    };
+    auto clean = file("clean", 7, "");
+    auto next = file("next", 8, "");
+    auto unused = file("unused", 8, R"(,["s2"])");
+    auto repeated = file("repeated", 8, R"(,["s1"])");
+    auto truncated = writeFile("truncated", "{");
+    auto exitCode = [](const std::string& path, const std::string& against, bool json) {
+        ctl::Options options;
+        options.configurationPath = path;
+        options.versionPath = against;
+        options.json = json;
+        return ctl::checkConfigurationFile(options);
+    };
+    for (bool json : { false, true }) {
+        CHECK(exitCode(clean, "", json) == ctl::exitOk);
+        CHECK(exitCode(next, clean, json) == ctl::exitOk);
+        CHECK(exitCode(next, unused, json) == ctl::exitConfigurationErrors);
+        CHECK(exitCode(unused, clean, json) == ctl::exitConfigurationWarnings);
+        CHECK(exitCode(repeated, "", json) == ctl::exitConfigurationErrors);
+        CHECK(exitCode(truncated, "", json) == ctl::exitConfigurationErrors);
+        CHECK(exitCode(next, truncated, json) == ctl::exitConfigurationErrors);
+        CHECK(exitCode(next, next + "-missing", json) == ctl::exitBadInput);
+        CHECK(exitCode(std::filesystem::temp_directory_path(), "", json) == ctl::exitBadInput);
+    }
+    for (const auto& it : { clean, next, unused, repeated, truncated })
+        std::filesystem::remove(it);
+}
