--- a/src/core/config/configuration_check.cpp
+++ b/src/core/config/configuration_check.cpp
@@ -256,7 +256,8 @@
         const std::map<std::string, T>& after, std::vector<ConfigurationChange>& changes)
     {
         for (const auto& [name, entry] : before) {
-            auto subject = type + " " + name;
+            auto subject = type;
+            subject.append(" ").append(name);
             auto it = after.find(name);
             if (it == after.end())
                 changes.push_back({ ConfigurationChangeKind::removed, subject, {}, {}, {} });
