--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -197,6 +197,7 @@
         settings.maxWaiting = values.count("limits.max_waiting");
         settings.maxConnections = values.count("limits.max_connections");
         settings.maxFileDescriptors = values.count("limits.descriptors");
+        settings.memoryMb = values.count("limits.memory_mb");
         settings.cores = values.number("limits.cores");
         settings.coldStart = values.milliseconds("limits.cold_start_ms");
         settings.leaveGrace = values.milliseconds("limits.leave_grace_ms");
@@ -247,6 +248,8 @@
         { "limits", "max_connections", "4096", 1, 1000000, "Connections of callers that may be open." },
         { "limits", "descriptors", "4100", 600, 100000000,
             "Files and sockets that the process may have open; dialect users." },
+        { "limits", "memory_mb", "0", 0, 1000000,
+            "Memory available to the process, in MB; bounds what it buffers for callers; 0: no bound; dialect users." },
         { "limits", "cores", "1", 0, 1024, "CPU time available to the process, in cores; dialect users." },
         { "limits", "cold_start_ms", "2000", 0, 600000, "Time until a cold server gets all its slots, in ms." },
         { "limits", "leave_grace_ms", "1000", 0, 60000, "Time from announcing to leave until closing, in ms." },
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -32,6 +32,7 @@
     std::size_t maxWaiting = 256; ///< Requests that may wait for one server.
     std::size_t maxConnections = 4096;
     std::size_t maxFileDescriptors = 4100; ///< Files and sockets that the process may have open.
+    std::size_t memoryMb = 0; ///< Memory available to the process, in units of 1,000,000 bytes; 0: not stated.
     double cores = 1; ///< CPU time available to the process, in cores.
     std::chrono::milliseconds coldStart { 2000 }; ///< Time until a cold server gets all its slots.
     std::chrono::milliseconds leaveGrace { 1000 }; ///< From announcing to leave until closing.
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::size_t maxKeptEvents = 2000; ///< Length of the history from which a watch can resume.
 constexpr std::size_t maxPageItems = 50;
+constexpr std::uint64_t maxServerBodyBytes = 64ULL * 1024 * 1024; ///< Largest body that a server accepts.
 
 /// Faults that a test switches on. Fractions are between 0 and 1.
 struct Faults {
@@ -361,6 +362,7 @@
             server.startTimeMs = 1'700'000'000'000 + n;
             HttpServer::Options options;
             options.address = addressOf(n + 1);
+            options.bodyLimit = maxServerBodyBytes;
             options.handler = [this, n](Request request) { return handleServer(n, std::move(request)); };
             auto http = HttpServer::create(m_context, options);
             if (!http)
@@ -403,8 +405,7 @@
         m_version = version;
         m_timeoutMs = timeoutMs;
         m_store.put("op/config",
-            Json {
-                { "version", version }, { "routes", routes }, { "services", services }, { "limits", Json::object() } }
+            Json { { "version", version }, { "routes", routes }, { "services", services }, { "limits", m_limits } }
                 .dump());
     }
 
@@ -464,6 +465,7 @@
         m_faults.lostRuns = body.value("lostRuns", m_faults.lostRuns);
         m_faults.executionTime = std::chrono::milliseconds(body.value("executionMs", m_faults.executionTime.count()));
         m_faults.lateGrants = body.value("lateGrants", m_faults.lateGrants);
+        m_limits = body.value("limits", m_limits);
         if (body.contains("configure"))
             publishDesiredState(body["configure"].get<unsigned>(), body.value("timeoutMs", m_timeoutMs));
         if (body.contains("compact"))
@@ -609,7 +611,11 @@
         --server.running;
         if (randomBool(m_faults.lostRuns))
             co_await sleepFor(m_context, std::chrono::seconds(10));
-        auto response = jsonResponse(200, { { "id", id } });
+        // A request chooses the size of its response by a parameter of its target.
+        auto padding = queryValue(std::string(request.target()), "bytes");
+        auto paddingBytes = padding.empty() ? 0 : std::stoul(padding);
+        auto response = jsonResponse(
+            200, { { "id", id }, { "bytes", request.body().size() }, { "padding", std::string(paddingBytes, 'x') } });
         response.set("Acaciagauge-Request-Id", id);
         response.set("Acaciagauge-Response-Signature", "signed." + id);
         response.set("Acaciagauge-Server-Load", std::to_string(server.running) + ",0,4");
@@ -625,6 +631,7 @@
     Faults m_faults;
     unsigned m_version = 0; ///< Of the newest desired state.
     unsigned m_timeoutMs = 1500; ///< Timeout of its routes.
+    Json m_limits = Json::object(); ///< Limits on callers' requests in it.
     Clock::time_point m_downSince;
     std::mt19937 m_random { 1 };
     Clock::time_point m_startedAt = Clock::now();
--- a/tests/e2e/platform_cluster.cpp
+++ b/tests/e2e/platform_cluster.cpp
@@ -88,7 +88,8 @@
     out << "[instance]\nid = " << name << "\ndomain = " << m_options.domain
         << "\n[listen]\ncallers = " << address(callersOffset) << "\nreadiness = " << address(readinessOffset)
         << "\nadmin = " << address(adminOffset) << "\nrpc = " << address(rpcOffset)
-        << "\n[platform]\ndialect = users\naddress = " << address(storeRelayOffset) << "\n";
+        << "\n[platform]\ndialect = users\naddress = " << address(storeRelayOffset) << "\n"
+        << m_options.extraSettings;
     out.close();
     m_processes.spawn(name, { "acaciagauged", "--settings", file.string() });
 }
--- a/tests/e2e/platform_cluster.hpp
+++ b/tests/e2e/platform_cluster.hpp
@@ -26,6 +26,7 @@
         unsigned servers = 4;
         std::string domain = "a"; ///< Failure domain of all daemons.
         bool hasServerRelays = false; ///< Daemons connect to the servers through relays.
+        std::string extraSettings; ///< Further sections of the daemons' settings files.
     };
 
     explicit PlatformCluster(Options options);
--- a/tests/e2e/processes.cpp
+++ b/tests/e2e/processes.cpp
@@ -63,6 +63,11 @@
     return hasEnded ? std::optional(removeEnded(name, status)) : std::nullopt;
 }
 
+std::filesystem::path ChildProcesses::procFolder(const std::string& name) const
+{
+    return std::filesystem::path("/proc") / std::to_string(m_pids.at(name));
+}
+
 int ChildProcesses::removeEnded(const std::string& name, int status)
 {
     m_pids.erase(name);
--- a/tests/e2e/processes.hpp
+++ b/tests/e2e/processes.hpp
@@ -35,6 +35,8 @@
 
     /// @brief Returns true if a process was started and neither wait() nor poll() has returned its exit code.
     [[nodiscard]] bool isTracked(const std::string& name) const { return m_pids.contains(name); }
+    /// @brief Returns the folder of a tracked process in /proc.
+    [[nodiscard]] std::filesystem::path procFolder(const std::string& name) const;
     [[nodiscard]] const std::filesystem::path& folder() const { return m_folder; }
 
 private:
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -19,8 +19,8 @@
         { "internal_port_range.0", "9000" }, { "platform.address", "10.200.1.7:8169" },
         { "seeds", "10.1.0.11:82,10.1.0.12:82" }, { "bounds.retry_budget_ratio", "0.2" },
         { "bounds.retry_budget_slack", "62" }, { "bounds.budget_window_s", "10" }, { "bounds.grace_s", "6" },
-        { "limits.max_fds", "8192" }, { "limits.cpu_share", "0.1" }, { "bounds.drain_ms", "2500" },
-        { "bounds.hold_max_ms", "10000" } };
+        { "limits.max_fds", "8192" }, { "limits.memory_mb", "512" }, { "limits.cpu_share", "0.1" },
+        { "bounds.drain_ms", "2500" }, { "bounds.hold_max_ms", "10000" } };
 }
 
 /// Fills in the template as the platform does: a placeholder without a value becomes empty.
@@ -63,6 +63,7 @@
     CHECK(settings->retries.window == std::chrono::seconds(10));
     CHECK(settings->terminationGracePeriod == std::chrono::seconds(6));
     CHECK(settings->maxFileDescriptors == 8192);
+    CHECK(settings->memoryMb == 512);
     CHECK(settings->cores == Approx(0.1));
     CHECK(settings->serverDrainTime == std::chrono::milliseconds(2500));
     CHECK(settings->keyGrantDuration == std::chrono::seconds(10));
@@ -80,8 +81,8 @@
 TEST_CASE("a bound that is missing, empty or a flag falls back to its default")
 {
     auto bound = GENERATE(as<std::string> {}, "bounds.retry_budget_ratio", "bounds.retry_budget_slack",
-        "bounds.budget_window_s", "bounds.grace_s", "limits.max_fds", "limits.cpu_share", "bounds.drain_ms",
-        "bounds.hold_max_ms", "seeds");
+        "bounds.budget_window_s", "bounds.grace_s", "limits.max_fds", "limits.memory_mb", "limits.cpu_share",
+        "bounds.drain_ms", "bounds.hold_max_ms", "seeds");
     auto fields = defaultFields();
     fields.erase(bound);
     CHECK(read(fields));
@@ -98,7 +99,7 @@
     auto settings = readWith("bounds.grace_s", "soon");
     REQUIRE_FALSE(settings);
     CHECK(settings.error().message
-        == "settings.toml:30: leaving.grace_s: must be a number from 0.5 to 600, found \"soon\"");
+        == "settings.toml:31: leaving.grace_s: must be a number from 0.5 to 600, found \"soon\"");
     CHECK_FALSE(readWith("bounds.retry_budget_slack", "nan"));
     CHECK_FALSE(readWith("bounds.retry_budget_slack", "-1"));
     CHECK_FALSE(readWith("bounds.hold_max_ms", "10 000"));
