One memory budget for what an instance buffers for others

Active with limits.memory_mb. Request bodies are stored in blocks that all attempts share; announced bodies that do not fit are refused unread with 503, chunked ones when the next block does not fit. Stalled transfers are ended when the budget is used up.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -104,6 +104,10 @@
             return "requestRetried";
         case LogEvent::requestMalformed:
             return "requestMalformed";
+        case LogEvent::messageUnbuffered:
+            return "messageUnbuffered";
+        case LogEvent::transferEnded:
+            return "transferEnded";
         case LogEvent::linesDropped:
             return "linesDropped";
         }
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -51,6 +51,8 @@
     requestFailed = 404,
     requestRetried = 405,
     requestMalformed = 406,
+    messageUnbuffered = 407,
+    transferEnded = 408,
     peerUnreachable = 501,
     rpcFailed = 502,
     permitUnanswered = 503,
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -87,8 +88,14 @@
     });
 }
 
+/// Allocations of at least this size are mapped, and unmapped when they are freed. By default, malloc raises the limit
+/// to the largest size freed so far (up to 32 MB) and keeps twice as much free memory.
+constexpr int mapThresholdBytes = 128 * 1024;
+
 int run(const Settings& settings, const std::string& settingsPath)
 {
+    if (settings.memoryMb > 0)
+        ::mallopt(M_MMAP_THRESHOLD, mapThresholdBytes);
     boost::asio::io_context context(1);
     auto instance = startInstance(context, settings, settingsPath);
     if (!instance) {
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -58,6 +58,12 @@
         = &addCounter(registry, "acaciagauge_owner_changes_total", "Items that changed owner in this domain");
     m_imbalance
         = &addGauge(registry, "acaciagauge_imbalance", "Ratio of the fullest server's items per slot to the mean");
+    m_buffered = &addGauge(registry, "acaciagauge_buffered_bytes", "Bytes buffered for callers and servers");
+    m_bufferBudget = &addGauge(registry, "acaciagauge_buffer_budget_bytes", "Bound of the buffered bytes; 0: none");
+    m_bufferRefusals
+        = &addCounter(registry, "acaciagauge_buffer_refusals_total", "Messages that did not fit into the budget");
+    m_endedTransfers
+        = &addCounter(registry, "acaciagauge_ended_transfers_total", "Stalled transfers that were ended to make room");
 }
 
 std::unique_ptr<Metrics> Metrics::create()
@@ -85,6 +91,12 @@
     m_servers->Add({ { "state", state } }).Set(static_cast<double>(n));
 }
 
+void Metrics::setBuffered(std::uint64_t bytes, std::uint64_t budget)
+{
+    m_buffered->Set(static_cast<double>(bytes));
+    m_bufferBudget->Set(static_cast<double>(budget));
+}
+
 std::string Metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -29,6 +29,15 @@
     void setIsController(bool isController) { m_isController->Set(isController ? 1 : 0); }
     void setStoreAvailable(bool isAvailable) { m_storeAvailable->Set(isAvailable ? 1 : 0); }
 
+    /// @brief Sets the bytes that are buffered for callers and servers, and their bound.
+    void setBuffered(std::uint64_t bytes, std::uint64_t budget);
+
+    /// @brief Counts a message that did not fit into the memory budget.
+    void countBufferRefusal() { m_bufferRefusals->Increment(); }
+
+    /// @brief Counts a stalled transfer that was ended to make room.
+    void countEndedTransfer() { m_endedTransfers->Increment(); }
+
     /// @brief Sets the number of the domain's servers in a state.
     void setServers(const std::string& state, std::size_t n);
 
@@ -57,6 +66,10 @@
     prometheus::Gauge* m_storeAvailable;
     prometheus::Counter* m_ownerChanges;
     prometheus::Gauge* m_imbalance;
+    prometheus::Gauge* m_buffered;
+    prometheus::Gauge* m_bufferBudget;
+    prometheus::Counter* m_bufferRefusals;
+    prometheus::Counter* m_endedTransfers;
     std::map<ServerId, std::pair<prometheus::Gauge*, prometheus::Gauge*>> m_queues;
 };
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -24,6 +24,9 @@
 
     constexpr auto drainPollInterval = std::chrono::milliseconds(50);
     constexpr auto flushPollInterval = std::chrono::milliseconds(5);
+    /// Deployments state memory in decimal or binary megabytes; the smaller unit is safe for both.
+    constexpr std::uint64_t bytesPerMb = 1'000'000;
+
     constexpr auto pruneInterval = std::chrono::seconds(10);
 
     /// File descriptors reserved for files, other instances and the store.
@@ -52,6 +55,7 @@
     , m_settings(std::move(settings))
     , m_ports(std::move(ports))
     , m_metrics(daemon::Metrics::create())
+    , m_budget(createBudget())
     , m_catalog(context, m_ports.documents)
     , m_follower(context, selfRecord(), m_ports.store, m_catalog, followerHooks())
     , m_membership(context, selfRecord(), m_ports.store, m_catalog)
@@ -62,6 +66,25 @@
 {
 }
 
+std::shared_ptr<net::BufferBudget> EntryNode::createBudget()
+{
+    if (m_settings.memoryMb == 0)
+        return nullptr;
+    net::BufferBudget::Hooks hooks;
+    hooks.onRefused = [this](std::uint64_t bytes) {
+        m_metrics->countBufferRefusal();
+        logEvent(LogLevel::warn, LogEvent::messageUnbuffered,
+            { { "bytes", std::to_string(bytes) }, { "buffered", std::to_string(m_budget->used()) },
+                { "budget", std::to_string(m_budget->capacity()) } });
+    };
+    hooks.onEnded = [this] {
+        m_metrics->countEndedTransfer();
+        logEvent(LogLevel::warn, LogEvent::transferEnded, { { "buffered", std::to_string(m_budget->used()) } });
+    };
+    auto options = MemoryBudget::optionsFor(m_settings.memoryMb * bytesPerMb);
+    return net::BufferBudget::create(options, std::move(hooks));
+}
+
 MemberRecord EntryNode::selfRecord() const
 {
     return { m_settings.instance, m_settings.domain, m_settings.rpcAddress, m_settings.cores };
@@ -131,6 +154,7 @@
     options.retries = m_settings.retries;
     // The remaining quarter is for connections in use.
     options.maxIdleConnections = connectionShare(m_settings) * 3 / 4;
+    options.budget = m_budget;
     return options;
 }
 
@@ -169,9 +193,11 @@
     net::HttpServer::Options callers;
     callers.address = m_settings.callersAddress;
     callers.maxConnections = std::min(m_settings.maxConnections, connectionShare(m_settings));
-    callers.cancellableHandler = [this](net::Request request, std::shared_ptr<net::Cancellation> cancellation) {
-        return m_forwarder.handle(std::move(request), std::move(cancellation));
+    callers.storedBodyHandler = [this](net::Request request, std::shared_ptr<net::StoredBody> body,
+                                    std::shared_ptr<net::Cancellation> cancellation) {
+        return m_forwarder.handle(std::move(request), std::move(cancellation), std::move(body));
     };
+    callers.budget = m_budget;
     callers.limits = [this] { return callerLimits(); };
     callers.onMalformed = [](const std::string& reason) {
         logEvent(LogLevel::warn, LogEvent::requestMalformed, { { "reason", reason } });
@@ -274,6 +300,8 @@
 net::Response EntryNode::answerAdmin(const net::Request& request) const
 {
     auto path = net::pathOf(std::string(request.target()));
+    if (path == "/metrics" && m_budget)
+        m_metrics->setBuffered(m_budget->used(), m_budget->capacity());
     if (path == "/metrics")
         return net::makeResponse(200, m_metrics->text(), "text/plain; version=0.0.4");
     if (path == "/status")
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -38,6 +38,7 @@
     Result<bool> start();
     Result<bool> listen();
     Result<bool> startRpc();
+    std::shared_ptr<net::BufferBudget> createBudget();
     net::HttpServerLimits callerLimits() const;
     net::Response answerReadiness(const net::Request& request) const;
     net::Response answerAdmin(const net::Request& request) const;
@@ -56,6 +57,7 @@
     daemon::Settings m_settings;
     Ports m_ports;
     std::unique_ptr<daemon::Metrics> m_metrics;
+    std::shared_ptr<net::BufferBudget> m_budget; ///< Null without the setting limits.memory_mb.
     Catalog m_catalog;
     StoreFollower m_follower;
     Membership m_membership;
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -108,6 +108,7 @@
     clientOptions.maxIdleConnections = m_options.maxIdleConnections;
     clientOptions.bodyLimit = net::maxAdminBodyBytes;
     clientOptions.acceptCloseDelimited = true;
+    clientOptions.budget = m_options.budget;
     clientOptions.tcpUserTimeout = unacknowledgedTimeout;
     clientOptions.rejectionWindow = firstUseDelay;
     m_client = net::HttpClient::create(context, clientOptions);
@@ -166,7 +167,8 @@
             { "revision", std::to_string(m_catalog.mirror().revision()) } });
 }
 
-awaitable<net::Response> RequestForwarder::handle(net::Request request, std::shared_ptr<net::Cancellation> cancellation)
+awaitable<net::Response> RequestForwarder::handle(
+    net::Request request, std::shared_ptr<net::Cancellation> cancellation, std::shared_ptr<net::StoredBody> body)
 {
     ++m_inFlight;
     PendingRequest pending;
@@ -176,6 +178,7 @@
     auto host = headerOf(request, "Host");
     auto path = net::pathOf(std::string(request.target()));
     pending.request = std::move(request);
+    pending.body = std::move(body);
     auto response = co_await route(pending, host, path);
     --m_inFlight;
     co_return response;
@@ -410,6 +413,7 @@
     net::HttpClient::ExchangeOptions options;
     options.timeout = pending.deadline - sentAt;
     options.connectTimeout = connectTimeout;
+    options.body = pending.body;
     options.idHeader = m_dialect.requestId;
     // A non-idempotent request that was sent as a whole is not cancelled, even if the caller has disconnected.
     options.cancellation = pending.cancellation;
@@ -434,6 +438,7 @@
     using net::ExchangeState;
     SendResult result;
     result.response = std::move(exchange.response);
+    result.lease = std::move(exchange.lease);
     result.cause = "server " + pending.lastServer + ": " + exchange.error;
     if (exchange.state == ExchangeState::connectionRefused || exchange.state == ExchangeState::notSent)
         return result;
--- a/src/entry/request_forwarder.hpp
+++ b/src/entry/request_forwarder.hpp
@@ -14,6 +14,7 @@
         std::chrono::milliseconds drainWindow { 1300 }; ///< A draining or gone owner still gets requests this long.
         RetryShare::Options retries;
         std::size_t maxIdleConnections = 1024; ///< In total, to all servers.
+        std::shared_ptr<net::BufferBudget> budget; ///< For servers' responses; null: no bound.
     };
 
     struct Hooks {
@@ -27,7 +28,9 @@
         Hooks hooks);
 
     /// @brief Forwards a caller's request and returns the response to the caller.
-    boost::asio::awaitable<net::Response> handle(net::Request request, std::shared_ptr<net::Cancellation> cancellation);
+    /// @param body if set, the body of the request, whose own body is empty then
+    boost::asio::awaitable<net::Response> handle(net::Request request, std::shared_ptr<net::Cancellation> cancellation,
+        std::shared_ptr<net::StoredBody> body = nullptr);
 
     /// @brief Returns how many requests are in progress.
     [[nodiscard]] std::size_t inFlight() const { return m_inFlight; }
@@ -51,6 +54,7 @@
     /// A request in progress.
     struct PendingRequest {
         net::Request request;
+        std::shared_ptr<net::StoredBody> body; ///< Shared by all sends; null: the request itself has the body.
         std::shared_ptr<net::Cancellation> cancellation;
         std::string id;
         std::string routeName;
@@ -72,6 +76,7 @@
     struct SendResult {
         SendOutcome outcome = SendOutcome::notSent;
         net::Response response;
+        std::shared_ptr<net::BufferBudget::Lease> lease; ///< For the response; null without a budget.
         bool timedOut = false;
         bool isReplaced = false; ///< Another process responded at the server's address.
         std::string cause;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -183,6 +183,20 @@
     co_return hasNoPendingData(connection);
 }
 
+// A body of unknown length is copied into a buffer of twice the size when it grows.
+bool HttpClient::drawResponse(const http::response_parser<http::string_body>& parser, Exchange& outcome)
+{
+    if (!outcome.lease)
+        return true;
+    std::uint64_t size = parser.get().body().size();
+    auto length = parser.content_length();
+    bool isGrowing = !length && !parser.is_done();
+    if (outcome.lease->resize(length ? *length : isGrowing ? 2 * size : size))
+        return true;
+    outcome.error = "no memory for the response";
+    return false;
+}
+
 asio::awaitable<beast::error_code> HttpClient::readResponse(Connection& connection, const std::string& idHeader,
     const std::string& id, Clock::time_point deadline, Exchange& outcome)
 {
@@ -198,6 +212,8 @@
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
             if (!ec && parser.is_header_done() && !isFramingClear(parser.get(), parser.get().version()))
                 ec = make_error_code(http::error::bad_transfer_encoding);
+            if (!ec && parser.is_header_done() && !drawResponse(parser, outcome))
+                ec = make_error_code(boost::system::errc::not_enough_memory);
             if (!ec && !parser.is_done() && Clock::now() >= deadline)
                 ec = beast::error::timeout;
         }
@@ -218,14 +234,29 @@
     co_return make_error_code(http::error::unexpected_body);
 }
 
-asio::awaitable<void> HttpClient::sendAndReceive(Connection& connection, Request& request,
-    const ExchangeOptions& options, Clock::time_point deadline, Exchange& outcome)
+template <typename Body>
+asio::awaitable<beast::error_code> HttpClient::writeRequest(
+    Connection& connection, const http::request<Body>& request, Exchange& outcome)
 {
     beast::error_code ec;
     auto written
         = co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, ec));
     outcome.state = written > 0 ? ExchangeState::incomplete : ExchangeState::notSent;
     connection.isRequestSent = !ec;
+    co_return ec;
+}
+
+asio::awaitable<void> HttpClient::sendAndReceive(Connection& connection, Request& request,
+    const ExchangeOptions& options, Clock::time_point deadline, Exchange& outcome)
+{
+    beast::error_code ec;
+    if (options.body) {
+        http::request<BlockBody> message(request.base(), options.body);
+        message.prepare_payload();
+        ec = co_await writeRequest(connection, message, outcome);
+    } else {
+        ec = co_await writeRequest(connection, request, outcome);
+    }
     auto id = options.idHeader.empty() ? std::string() : headerOf(request, options.idHeader);
     if (!ec)
         ec = co_await readResponse(connection, options.idHeader, id, deadline, outcome);
@@ -279,6 +310,9 @@
         co_return outcome;
     outcome.wasReused = connection->wasUsed;
     outcome.connection = connection->id;
+    if (m_options.budget)
+        outcome.lease
+            = std::make_shared<BufferBudget::Lease>(m_options.budget->add(BufferBudget::Phase::processing, nullptr));
     bool isAbandoned = isAborted(options) || (options.cancellation && options.cancellation->isCancelled())
         || (options.mayStillSend && !options.mayStillSend());
     if (isAbandoned) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 #include "net/cancellation.hpp"
 #include "net/http_types.hpp"
+#include "net/stored_body.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -29,6 +30,7 @@
     Response response;
     std::string error;
     bool wasReused = false; ///< The connection had carried an earlier exchange.
+    std::shared_ptr<BufferBudget::Lease> lease; ///< For the response; null without a budget.
     std::uint64_t connection = 0; ///< Identifies the connection; 0 if there was none.
 };
 
@@ -50,6 +52,7 @@
             0
         }; ///< Wait before a new connection is used, in which the server may close it.
         std::size_t readBufferBytes = 4096; ///< Most that one read of a connection takes.
+        std::shared_ptr<BufferBudget> budget = nullptr; ///< If set, bounds the bytes of responses.
         bool acceptCloseDelimited = false; ///< Accepts responses that end with an orderly close of the connection.
     };
 
@@ -57,6 +60,7 @@
         std::chrono::microseconds timeout { 0 }; ///< For the whole exchange.
         std::chrono::microseconds connectTimeout { 0 }; ///< 0: limited only by `timeout`.
         std::function<bool()> mayStillSend; ///< Called just before the first byte is written; false cancels.
+        std::shared_ptr<StoredBody> body; ///< If set, sent instead of the request's own body.
         std::string idHeader; ///< If set, responses whose value of this header differs from the request's are skipped.
         std::shared_ptr<Cancellation> cancellation; ///< Closes the connection when cancelled.
         bool uncancellableOnceSent = false; ///< Once fully written, the request is not cancelled.
@@ -106,6 +110,10 @@
     asio::awaitable<bool> remainsOpen(Connection& connection);
     asio::awaitable<void> sendAndReceive(Connection& connection, Request& request, const ExchangeOptions& options,
         Clock::time_point deadline, Exchange& outcome);
+    template <typename Body>
+    static asio::awaitable<beast::error_code> writeRequest(
+        Connection& connection, const http::request<Body>& request, Exchange& outcome);
+    static bool drawResponse(const http::response_parser<http::string_body>& parser, Exchange& outcome);
     static bool isAborted(const ExchangeOptions& options);
     static std::size_t closeOnCancellation(Connection& connection, const ExchangeOptions& options);
     static std::size_t closeOnAbort(Connection& connection, const ExchangeOptions& options);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 #include "net/cancellation.hpp"
 #include "net/http_types.hpp"
+#include "net/stored_body.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +19,10 @@
 /// @brief Answers one request; the Cancellation is cancelled when the caller disconnects. Must not throw.
 using CancellableHandler = std::function<asio::awaitable<Response>(Request, std::shared_ptr<Cancellation>)>;
 
+/// @brief As CancellableHandler; gets the body of the request apart from it.
+using StoredBodyHandler
+    = std::function<asio::awaitable<Response>(Request, std::shared_ptr<StoredBody>, std::shared_ptr<Cancellation>)>;
+
 /// @brief Limits on the size and duration of a caller's requests.
 struct HttpServerLimits {
     std::uint32_t headerBytes = maxHeaderBytes;
@@ -43,6 +48,10 @@
         std::chrono::seconds idleTimeout { 60 };
         Handler handler;
         CancellableHandler cancellableHandler; ///< If set, used instead of `handler`.
+        StoredBodyHandler storedBodyHandler; ///< If set, used instead of the others.
+        /// Bounds the bytes of requests and responses, if set; needs storedBodyHandler. A request that does not fit is
+        /// answered with 503, and a connection on which a response makes no progress for the idle timeout is closed.
+        std::shared_ptr<BufferBudget> budget;
         std::function<void(const std::string&)>
             onMalformed; ///< Called with the reason when a request is refused unread.
         std::function<HttpServerLimits()> limits; ///< If set, replaces bodyLimit and idleTimeout; read at each use.
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -1,5 +1,6 @@
 #include "net/http_session.hpp"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
+#include <utility>
 
 namespace acaciagauge::net {
 
@@ -23,8 +25,29 @@
     /// A request may still be in transit on a connection that has been idle for less than this: a few round trips.
     constexpr auto requestTransitTime = std::chrono::milliseconds(100);
 
+    /// Retry-After of a request that does not fit into the budget: stalled transfers can be ended after this time.
+    constexpr auto noMemoryRetryAfter = "1";
+
+    bool isOutOfMemory(beast::error_code ec)
+    {
+        return ec == boost::system::errc::not_enough_memory;
+    }
+
+    Response noMemoryResponse()
+    {
+        auto response
+            = makeResponse(503, R"({"code":306,"name":"queueFull","message":"no memory for the request at present"})");
+        response.set(http::field::retry_after, noMemoryRetryAfter);
+        response.set("X-Acaciagauge-Outcome", "notRun");
+        response.set("X-Acaciagauge-Code", "306");
+        response.keep_alive(false);
+        return response;
+    }
+
     Response errorResponse(beast::error_code ec)
     {
+        if (isOutOfMemory(ec))
+            return noMemoryResponse();
         unsigned status = 400;
         if (ec == http::error::body_limit)
             status = 413;
@@ -52,6 +75,7 @@
     , m_responseReady(m_socket.get_executor(), Clock::time_point::max())
     , m_slotFreed(m_socket.get_executor(), Clock::time_point::max())
     , m_phaseSince(Clock::now())
+    , m_lastWrite(m_phaseSince)
 {
     m_server->m_sessions.insert(this);
 }
@@ -69,6 +93,7 @@
 void HttpSession::start()
 {
     auto self = shared_from_this();
+    m_connectionLease = addLease(BufferBudget::Phase::processing);
     auto executor = m_socket.get_executor();
     asio::co_spawn(executor, readLoop(), [self](std::exception_ptr) {});
     asio::co_spawn(executor, writeLoop(), [self](std::exception_ptr) {});
@@ -108,7 +133,8 @@
         isOverdue = m_calls.empty() && elapsed > lingerTime;
         break;
     }
-    if (isOverdue)
+    bool isUnread = m_server->m_options.budget && m_isWriting && now - m_lastWrite > limits.idleTimeout;
+    if (isOverdue || isUnread)
         close();
 }
 
@@ -117,7 +143,10 @@
 {
     m_isClosed = true;
     m_acceptsRequests = false;
-    auto calls = m_calls;
+    // Calls in progress keep themselves; the others give back their responses.
+    auto calls = std::exchange(m_calls, {});
+    m_responseBytes = 0;
+    recordHeldBytes();
     for (auto& it : calls)
         it->cancellation->cancel();
     beast::error_code ec;
@@ -151,6 +180,8 @@
     m_socket.non_blocking(true, ec);
     auto n = m_socket.read_some(m_buffer.prepare(readChunkBytes), ec);
     m_buffer.commit(n);
+    if (!m_connectionLease.resize(heldBytes()))
+        return false;
     return !ec || ec == asio::error::would_block;
 }
 
@@ -159,6 +190,10 @@
     if (m_buffer.size() > 0)
         co_return true;
     enterPhase(Phase::idle);
+    if (m_server->m_options.budget && m_buffer.capacity() > readChunkBytes) {
+        m_buffer.shrink_to_fit();
+        recordHeldBytes();
+    }
     beast::error_code ec;
     auto n = co_await m_socket.async_read_some(
         m_buffer.prepare(readChunkBytes), asio::redirect_error(asio::use_awaitable, ec));
@@ -175,7 +210,7 @@
     m_acceptsRequests = false;
     m_calls.push_back(std::move(call));
     m_responseReady.cancel();
-    if (m_server->m_options.onMalformed)
+    if (m_server->m_options.onMalformed && !isOutOfMemory(ec))
         m_server->m_options.onMalformed(ec.message());
 }
 
@@ -190,11 +225,20 @@
     return {};
 }
 
-// Returns false if the connection has ended.
-asio::awaitable<bool> HttpSession::readRequest()
+BufferBudget::Lease HttpSession::addLease(BufferBudget::Phase phase)
+{
+    if (!m_server->m_options.budget)
+        return {};
+    return m_server->m_options.budget->add(phase, [weak = weak_from_this()] {
+        if (auto session = weak.lock())
+            session->close();
+    });
+}
+
+template <typename Body>
+asio::awaitable<beast::error_code> HttpSession::readMessage(http::request_parser<Body>& parser, StoredBody* body)
 {
     auto limits = m_server->limits();
-    http::request_parser<http::string_body> parser;
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     beast::error_code ec;
@@ -202,6 +246,8 @@
     co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
         ec = checkFraming(parser.get().base(), parser.chunked());
+    if (!ec && body && !body->reserve(parser.content_length().value_or(0)))
+        ec = make_error_code(boost::system::errc::not_enough_memory);
     bool wantsContinue = !ec && m_calls.empty() && headerOf(parser.get(), "Expect") == "100-continue";
     if (wantsContinue) {
         static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -211,7 +257,31 @@
         enterPhase(Phase::body);
         co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     }
-    if (ec && isProtocolError(ec)) {
+    co_return ec;
+}
+
+// Returns false if the connection has ended.
+asio::awaitable<bool> HttpSession::readRequest()
+{
+    auto call = std::make_shared<Call>();
+    beast::error_code ec;
+    if (m_server->m_options.budget) {
+        call->body = StoredBody::create(addLease(BufferBudget::Phase::transfer));
+        http::request_parser<BlockBody> parser;
+        parser.get().body() = call->body;
+        if (call->body->reserve(0))
+            ec = co_await readMessage(parser, call->body.get());
+        else
+            ec = make_error_code(boost::system::errc::not_enough_memory);
+        call->body->finish();
+        call->request.base() = std::move(parser.get().base());
+    } else {
+        http::request_parser<http::string_body> parser;
+        ec = co_await readMessage(parser, nullptr);
+        if (!ec)
+            call->request = parser.release();
+    }
+    if (ec && (isProtocolError(ec) || isOutOfMemory(ec))) {
         queueErrorResponse(ec);
         co_return true;
     }
@@ -220,14 +290,17 @@
     // A request after the response that closes the connection is ignored, as if it had not been read.
     if (!m_acceptsRequests)
         co_return true;
-    auto call = std::make_shared<Call>();
-    call->request = parser.release();
+    startCall(std::move(call));
+    co_return true;
+}
+
+void HttpSession::startCall(std::shared_ptr<Call> call)
+{
     call->keepAlive = call->request.keep_alive();
     m_acceptsRequests = call->keepAlive && !m_server->m_stopped;
     m_calls.push_back(call);
     ++m_server->m_inFlight;
     asio::co_spawn(m_socket.get_executor(), handleCall(std::move(call)), asio::detached);
-    co_return true;
 }
 
 asio::awaitable<void> HttpSession::readLoop()
@@ -263,15 +336,49 @@
 {
     auto self = shared_from_this();
     auto& options = m_server->m_options;
-    if (options.cancellableHandler)
+    if (options.storedBodyHandler)
+        call->response
+            = co_await options.storedBodyHandler(std::move(call->request), std::move(call->body), call->cancellation);
+    else if (options.cancellableHandler)
         call->response = co_await options.cancellableHandler(std::move(call->request), call->cancellation);
     else
         call->response = co_await options.handler(std::move(call->request));
     call->isAnswered = true;
+    if (!m_isClosed)
+        m_responseBytes += call->response.body().size();
+    recordHeldBytes();
     --m_server->m_inFlight;
     m_responseReady.cancel();
 }
 
+std::uint64_t HttpSession::heldBytes() const
+{
+    return m_responseBytes + (m_buffer.capacity() > readChunkBytes ? m_buffer.capacity() : 0);
+}
+
+void HttpSession::recordHeldBytes()
+{
+    m_connectionLease.record(m_isClosed ? 0 : heldBytes());
+}
+
+asio::awaitable<beast::error_code> HttpSession::writeResponse(const Response& response)
+{
+    beast::error_code ec;
+    http::response_serializer<http::string_body> serializer(response);
+    m_isWriting = true;
+    m_lastWrite = Clock::now();
+    m_connectionLease.setPhase(BufferBudget::Phase::transfer);
+    while (!ec && !serializer.is_done()) {
+        auto written
+            = co_await http::async_write_some(m_socket, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        m_lastWrite = Clock::now();
+        m_connectionLease.noteProgress(written);
+    }
+    m_isWriting = false;
+    m_connectionLease.setPhase(BufferBudget::Phase::processing);
+    co_return ec;
+}
+
 asio::awaitable<void> HttpSession::writeLoop()
 {
     auto self = shared_from_this();
@@ -289,9 +396,11 @@
         if (!keepAlive)
             m_acceptsRequests = false;
         call->response.keep_alive(keepAlive);
-        beast::error_code ec;
-        co_await http::async_write(m_socket, call->response, asio::redirect_error(asio::use_awaitable, ec));
-        m_calls.pop_front();
+        auto ec = co_await writeResponse(call->response);
+        if (!m_calls.empty())
+            m_calls.pop_front();
+        m_responseBytes -= std::min<std::uint64_t>(m_responseBytes, call->response.body().size());
+        recordHeldBytes();
         m_slotFreed.cancel();
         if (ec) {
             close();
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -33,6 +33,7 @@
     /// A request and, once it is answered, its response.
     struct Call {
         Request request;
+        std::shared_ptr<StoredBody> body; ///< Null without a budget; the request itself has the body then.
         Response response;
         bool isAnswered = false;
         bool keepAlive = true;
@@ -49,6 +50,13 @@
     HttpSession(std::shared_ptr<HttpServer> server, asio::ip::tcp::socket socket);
     asio::awaitable<void> readLoop();
     asio::awaitable<bool> readRequest();
+    template <typename Body>
+    asio::awaitable<beast::error_code> readMessage(http::request_parser<Body>& parser, StoredBody* body);
+    void startCall(std::shared_ptr<Call> call);
+    BufferBudget::Lease addLease(BufferBudget::Phase phase);
+    asio::awaitable<beast::error_code> writeResponse(const Response& response);
+    [[nodiscard]] std::uint64_t heldBytes() const;
+    void recordHeldBytes();
     static beast::error_code checkFraming(const http::request_header<>& header, bool isChunked);
     asio::awaitable<bool> waitForFirstByte();
     asio::awaitable<void> waitForPipelineSlot();
@@ -68,6 +76,10 @@
     asio::steady_timer m_slotFreed; ///< Cancelled when a response is written or the connection closed.
     Phase m_phase = Phase::idle;
     Clock::time_point m_phaseSince;
+    BufferBudget::Lease m_connectionLease; ///< For m_buffer, and the responses that have not been written.
+    std::uint64_t m_responseBytes = 0;
+    bool m_isWriting = false;
+    Clock::time_point m_lastWrite; ///< When the caller last took bytes of the response that is being written.
     bool m_isClosed = false; ///< By the caller, or by this side.
     bool m_acceptsRequests = true; ///< Further requests are read.
 };
