--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -63,7 +63,7 @@
     CHECK_FALSE(budget.resize(small, 64 * 1024 + 1, start).isGranted);
     auto other = budget.add(Phase::transfer, start + 5s);
     CHECK_FALSE(budget.resize(other, mib, start + 5s).isGranted);
-    budget.record(large, 22 * mib);
+    budget.record(large, 22 * mib - 64 * 1024);
     CHECK(budget.resize(other, 8 * 1024, start + 5s).ended == std::vector<MemoryBudget::HolderId> { small });
     budget.remove(large);
     budget.remove(small);
