Admission: wait for a late response, count a request once, no long pause after a refusal

- A request waits until its target and at most half of the time to its deadline, in place of being refused as soon as its response would be late: a late response is worth more to a caller than a refusal that comes back late.
- The load that a server reports may count the request that it answers.
It was taken for an unknown one, so that a slot seemed to be taken after each response.
- One request beyond the slots fills the time until a coordinator hears that another has ended.
- A refusal pauses a server for 20 ms in place of 100: a coordinator knows that the server has a free slot.
- Moves of keys at once grow less with the servers (0.02, and 2 standard deviations): with 0.08 and 1.5 some 30 moves a second followed the load for as long as it changed, and the ranges that each is renewed for tripled the grants.

--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -4,6 +4,7 @@
 /// @brief The public header of the core library; it includes all others.
 
 #include "acaciagauge/detail/admission/concurrency_limiter.hpp"
+#include "acaciagauge/detail/admission/memory_budget.hpp"
 #include "acaciagauge/detail/admission/rate_permits.hpp"
 #include "acaciagauge/detail/admission/server_queue.hpp"
 #include "acaciagauge/detail/admission/shared_admission.hpp"
--- a/include/acaciagauge/detail/admission/shared_admission.hpp
+++ b/include/acaciagauge/detail/admission/shared_admission.hpp
@@ -63,7 +63,6 @@
         Duration initialServiceTime = std::chrono::milliseconds(200); ///< Assumed until one has been measured.
         Duration shedBackoff = std::chrono::milliseconds(100); ///< Nothing is sent for this time after a shed request.
         Duration unreachableBackoff = std::chrono::milliseconds(250); ///< The same for an unreachable server.
-        Duration minWaitLimit = std::chrono::milliseconds(150); ///< Lower bound of the wait limit.
         Duration stuckAfter
             = std::chrono::milliseconds(700); ///< Minimum time without a completion before a server counts as stuck.
         Duration fairnessWindow = std::chrono::seconds(10); ///< Counts of a kind fall to 1/e over this time.
--- a/src/core/admission/shared_admission.cpp
+++ b/src/core/admission/shared_admission.cpp
@@ -127,10 +127,9 @@
 
 TimePoint SharedAdmission::waitLimitEnd(const Waiting& waiting, Duration service) const
 {
+    // A late response is worth more to a caller than a refusal: one that comes back cannot meet its target either.
     const auto& request = waiting.request;
-    // A request that will be late anyway still waits for one service time.
-    auto end = std::max(waiting.since + std::max(m_options.minWaitLimit, service), request.target - service);
-    return std::min({ end, request.waitLimitEnd, request.deadline - service });
+    return std::min(request.waitLimitEnd, request.deadline - service);
 }
 
 void SharedAdmission::decayCounts(TimePoint now)
@@ -227,7 +226,7 @@
     auto underserved = underservedKinds();
     // More urgent requests that arrive later go first: only this part of the slots is left for a kind.
     auto partLeftFor = [&](unsigned priority) {
-        constexpr double minPart = 0.05;
+        constexpr double minPart = 0.3;
         double urgent = 0;
         for (const auto& it : m_kinds)
             urgent += it.first < priority ? it.second.admitted / toMicros(m_options.fairnessWindow) : 0;
@@ -286,10 +285,11 @@
     if (found == m_servers.end())
         return;
     auto& state = found->second;
+    // The report may count the request that it answers: otherwise a slot would seem to be taken after each response.
+    auto known = static_cast<double>(state.inFlight.size());
     auto lease = state.inFlight.extract(id);
     if (result.reportedLoad) {
-        state.unknownInFlight
-            = std::max(0.0, static_cast<double>(*result.reportedLoad) - static_cast<double>(state.inFlight.size()));
+        state.unknownInFlight = std::max(0.0, static_cast<double>(*result.reportedLoad) - known);
         state.reportedAt = now;
         state.slowdown = result.slowdown;
         state.slowdownAt = now;
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -31,6 +31,14 @@
     /// Time until the state of an unused group is dropped.
     constexpr auto forgetAfter = std::chrono::seconds(30);
 
+    /// Requests beyond a server's slots: they fill the gap until the coordinator has heard of the end of a request,
+    /// which takes up to a tenth of a second on an instance whose processor time is used up.
+    constexpr unsigned extraInFlight = 1;
+
+    /// Pause of a server that refused a request although it has a free slot by this instance's count. Longer pauses
+    /// would stop a server that refuses some requests for other reasons.
+    constexpr auto shedBackoff = std::chrono::milliseconds(20);
+
     /// Ids are distinct from those of Upstreams and of an earlier process at the same address.
     std::uint64_t firstWorkId()
     {
@@ -154,8 +162,12 @@
 Admission::Group& Admission::groupOf(const GroupId& id)
 {
     auto it = m_groups.find(id);
-    if (it == m_groups.end())
-        it = m_groups.emplace(id, Group(SharedAdmission::create({}))).first;
+    if (it == m_groups.end()) {
+        SharedAdmission::Options options;
+        options.extraInFlight = extraInFlight;
+        options.shedBackoff = shedBackoff;
+        it = m_groups.emplace(id, Group(SharedAdmission::create(std::move(options)))).first;
+    }
     it->second.usedAt = monotonicNow();
     updateServers(id, it->second);
     return it->second;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -24,8 +24,8 @@
 
     /// With uneven servers more keys are misplaced at once, and moves that follow random differences of the load would
     /// delay the others.
-    constexpr double unevenNoiseMargin = 1.5;
-    constexpr double unevenMovesPerServer = 0.08;
+    constexpr double unevenNoiseMargin = 2.0;
+    constexpr double unevenMovesPerServer = 0.02;
 
     constexpr auto drainPollInterval = std::chrono::milliseconds(50);
     constexpr auto flushPollInterval = std::chrono::milliseconds(5);
--- a/src/entry/request_forwarder.cpp
+++ b/src/entry/request_forwarder.cpp
@@ -52,9 +52,9 @@
     /// Subtracted from the caller's deadline for the response's way back.
     constexpr auto responseMargin = std::chrono::milliseconds(25);
 
-    /// A request waits for its admission for this part of the time to its target, and at least for the minimum: the
-    /// rest is for its execution.
-    constexpr double waitPartOfTarget = 0.75;
+    /// A request waits for its admission until its target, at least for the minimum, and no longer than for this part
+    /// of the time to its deadline: the rest is for its execution, and for another try of its caller.
+    constexpr double waitPartOfDeadline = 0.5;
     constexpr auto minAdmissionWait = std::chrono::milliseconds(300);
 
     /// Cold servers that a request may be refused by before it waits for one: each costs a call to another instance.
@@ -459,8 +459,8 @@
         call.priority = work.priority;
         call.untilTarget = std::max(Duration::zero(), target - now);
         call.untilDeadline = std::max(Duration::zero(), work.deadline - now);
-        auto wait = std::chrono::duration_cast<Duration>(call.untilTarget * waitPartOfTarget);
-        call.maxWait = std::min(call.untilDeadline, std::max<Duration>(minAdmissionWait, wait));
+        auto longest = std::chrono::duration_cast<Duration>(call.untilDeadline * waitPartOfDeadline);
+        call.maxWait = std::min(longest, std::max<Duration>(minAdmissionWait, call.untilTarget));
         return call;
     };
     auto call = callAt(monotonicNow());
--- a/src/net/buffer_budget.hpp
+++ b/src/net/buffer_budget.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "acaciagauge/detail/admission/memory_budget.hpp"
+#include "acaciagauge/acaciagauge.hpp"
 
 #include <functional>
 #include <memory>
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -1,4 +1,4 @@
-#include "acaciagauge/detail/admission/memory_budget.hpp"
+#include "acaciagauge/acaciagauge.hpp"
 
 #include <catch2/catch.hpp>
 
