--- a/tests/test_store_following.cpp
+++ b/tests/test_store_following.cpp
@@ -89,7 +89,7 @@
         entry.sequence = text.size();
         return entry;
     };
-    return { "configuration", "servers/", {}, decodeServer };
+    return { "configuration", "servers/", {}, {}, decodeServer };
 }
 
 /// One run of an instance's process.
--- a/tests/test_store_link.cpp
+++ b/tests/test_store_link.cpp
@@ -53,7 +53,7 @@
             entry.draining = text == "draining";
             return entry;
         };
-        return { "configuration", "servers/", {}, decodeServer };
+        return { "configuration", "servers/", {}, {}, decodeServer };
     }
 
     asio::io_context context;
