--- a/src/core/admission/shared_admission.cpp
+++ b/src/core/admission/shared_admission.cpp
@@ -23,6 +23,14 @@
     /// Offered requests of a kind below which its share says nothing.
     constexpr double minOffered = 3;
 
+    /// A request is refused unserved only if its expected wait exceeds its limit by the reciprocal of this: service
+    /// times vary, and a refused request that comes back has lost its place.
+    constexpr double waitTolerance = 0.5;
+
+    /// With so many silent coordinators in a domain, it is probably cut off: further ones are not tried, since each
+    /// costs requests their wait.
+    constexpr std::size_t maxSuspectedInDomain = 4;
+
     Duration toDuration(double micros)
     {
         return Duration(static_cast<Duration::rep>(micros));
@@ -226,7 +234,7 @@
     auto underserved = underservedKinds();
     // More urgent requests that arrive later go first: only this part of the slots is left for a kind.
     auto partLeftFor = [&](unsigned priority) {
-        constexpr double minPart = 0.3;
+        constexpr double minPart = 0.5;
         double urgent = 0;
         for (const auto& it : m_kinds)
             urgent += it.first < priority ? it.second.admitted / toMicros(m_options.fairnessWindow) : 0;
@@ -257,7 +265,8 @@
             auto queued = toMicros(expected.first) + static_cast<double>(ahead) / expected.perMicro;
             wait = toDuration(queued / partLeftFor(request.priority));
         }
-        bool isServedInTime = expected.perMicro > 0 && now + wait <= waitLimitEnd(it->second, expected.service);
+        bool isServedInTime = expected.perMicro > 0
+            && now + toDuration(toMicros(wait) * waitTolerance) <= waitLimitEnd(it->second, expected.service);
         if (isServedInTime && ahead < m_options.maxWaiting) {
             ++ahead;
             continue;
@@ -336,10 +345,14 @@
         order.insert(order.end(), others.begin(), others.end());
         known = m_orders.emplace(subject, std::move(order)).first;
     }
+    std::size_t suspectedInDomain = 0;
     for (const auto& it : known->second) {
         auto suspected = m_suspectUntil.find(it);
         if (suspected == m_suspectUntil.end() || now >= suspected->second)
             return it;
+        suspectedInDomain += m_members.at(it).domain == domain;
+        if (suspectedInDomain >= maxSuspectedInDomain)
+            return std::nullopt;
     }
     return std::nullopt;
 }
