--- a/tests/e2e/platform_cluster.hpp
+++ b/tests/e2e/platform_cluster.hpp
@@ -25,9 +25,9 @@
         unsigned daemons = 3;
         unsigned servers = 4;
         std::string domain = "a"; ///< Failure domain of all daemons.
+        bool hasServerRelays = false; ///< Daemons connect to the servers through relays.
         std::string settings; ///< Added to the settings files of all daemons.
         unsigned serverDomains = 1; ///< Servers are in the domains a, b and so on in turn.
-        bool hasServerRelays = false; ///< Daemons connect to the servers through relays.
     };
 
     explicit PlatformCluster(Options options);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -30,13 +30,19 @@
     std::chrono::seconds faultDuration { 20 };
 };
 
+/// Every other seed runs with coordinated admission, which the stand-in's configuration does not call for by itself.
+std::string settingsOf(unsigned seed)
+{
+    return std::string("[balancing]\ncoordination = ") + (seed % 2 == 0 ? "on" : "off") + "\n";
+}
+
 /// The test run of one seed.
 class SoakRun {
 public:
     SoakRun(const Options& options, unsigned seed)
         : m_options(options)
         , m_random(seed)
-        , m_cluster({ options.basePort, options.daemons, options.servers, "a", true })
+        , m_cluster({ options.basePort, options.daemons, options.servers, "a", true, settingsOf(seed) })
         , m_faultyDaemons(options.daemons)
         , m_faultyServers(options.servers)
         , m_daemonVersions(options.daemons)
