Refuse at once at a third over the wait limit; the noise test measures rates as reports do

test_shared_admission: with a tolerance of twice the limit a queue of eight for one slot refused four at once, of five that are required; with a third it refuses five.

test_key_placement: the new case failed in its first run. It put all load of a server on one key, which no move can take, and added it at once, so that it varied more than rates that are averaged over reports do. The checks compare the same moves as before, without those off slow servers.

Boost.Beast requires the names reader and writer.

--- a/src/core/admission/shared_admission.cpp
+++ b/src/core/admission/shared_admission.cpp
@@ -23,9 +23,9 @@
     /// Offered requests of a kind below which its share says nothing.
     constexpr double minOffered = 3;
 
-    /// A request is refused unserved only if its expected wait exceeds its limit by the reciprocal of this: service
-    /// times vary, and a refused request that comes back has lost its place.
-    constexpr double waitTolerance = 0.5;
+    /// A request is refused unserved only if this part of its expected wait exceeds its limit: service times vary, and
+    /// a refused request that comes back has lost its place.
+    constexpr double waitTolerance = 0.75;
 
     /// With so many silent coordinators in a domain, it is probably cut off: further ones are not tried, since each
     /// costs requests their wait.
--- a/src/net/stored_body.hpp
+++ b/src/net/stored_body.hpp
@@ -56,6 +56,7 @@
 
     static std::uint64_t size(const value_type& body) { return body ? body->size() : 0; }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): Boost.Beast requires this name.
     class reader {
     public:
         template <bool isRequest, typename Fields>
@@ -86,6 +87,7 @@
         value_type& m_body;
     };
 
+    // NOLINTNEXTLINE(readability-identifier-naming): Boost.Beast requires this name.
     class writer {
     public:
         using const_buffers_type = asio::const_buffer;
--- a/tests/test_key_placement.cpp
+++ b/tests/test_key_placement.cpp
@@ -193,33 +193,45 @@
 {
     constexpr std::size_t count = 100;
     constexpr std::size_t slowCount = 5;
-    constexpr double meanPerServer = 20; // In the load's time constant.
+    constexpr KeyNumber busyKeys = 10; // Of each server.
+    constexpr double meanPerServer = 5; // Requests per second.
+    constexpr auto reportInterval = 300ms;
     auto list = servers(count);
     for (std::size_t n = 0; n < slowCount; ++n)
         list[n].capacity = 1;
-    std::mt19937 random(1);
-    std::poisson_distribution<unsigned> requests(meanPerServer);
-    KeyCounts counts;
     KeyPlacement::Input input;
     input.servers = list;
     // Divided as if all servers were equal: speeds are learned later.
     input.ranges = KeyPlacement::divide(servers(count));
-    for (const auto& it : input.ranges)
-        counts[it.keys.from + it.keys.width() / 2] = requests(random);
-    auto load = loadOf(counts);
+    std::set<ServerId> hasLoad;
+    std::mt19937 random(1);
+    auto seconds = std::chrono::duration<double>(reportInterval).count();
+    std::poisson_distribution<unsigned> requests(meanPerServer * seconds / busyKeys);
+    auto load = KeyLoad::create({}, start);
+    for (auto now = start; now < start + 10s; now += reportInterval) {
+        KeyCounts counts;
+        hasLoad.clear();
+        for (const auto& it : input.ranges) {
+            for (KeyNumber n = 0; !hasLoad.contains(it.owner) && n < busyKeys; ++n)
+                counts[it.keys.from + n] = requests(random);
+            hasLoad.insert(it.owner);
+        }
+        load.add(counts, now);
+    }
     input.load = &load;
+    auto isSlow = [&](const ServerId& id) {
+        return std::any_of(list.begin(), list.begin() + slowCount, [&](const auto& it) { return it.id == id; });
+    };
     KeyPlacement::Options options;
-    options.maxMoves = count;
-    auto noisyMoves = KeyPlacement::plan(options, input).size();
+    options.maxMoves = 4 * count;
+    auto movesOff = [&](bool slow) {
+        auto moves = KeyPlacement::plan(options, input);
+        return std::count_if(
+            moves.begin(), moves.end(), [&](const auto& it) { return isSlow(ownerOf(input, it.keys.from)) == slow; });
+    };
+    auto noisyMoves = movesOff(false);
     options.noiseMargin = 2;
-    std::size_t fromSlow = 0;
-    auto moves = KeyPlacement::plan(options, input);
-    for (const auto& it : moves) {
-        auto owner = ownerOf(input, it.keys.from);
-        fromSlow
-            += std::any_of(list.begin(), list.begin() + slowCount, [&](const auto& slow) { return slow.id == owner; });
-    }
-    INFO("moves " << moves.size() << " of " << noisyMoves << ", off slow servers " << fromSlow);
-    CHECK(fromSlow >= slowCount - 1);
-    CHECK(moves.size() * 2 < noisyMoves);
+    INFO("off slow servers " << movesOff(true) << ", others " << movesOff(false) << " of " << noisyMoves);
+    CHECK(movesOff(true) >= static_cast<long>(slowCount) - 1);
+    CHECK(movesOff(false) * 2 < noisyMoves);
 }
