Comment of SharedAdmission: requests beyond the slots, and when a request is refused

Two later changes of its rules (one request beyond the slots; refusal at once only far above the wait limit) had left the class comment behind.

--- a/include/acaciagauge/detail/admission/shared_admission.hpp
+++ b/include/acaciagauge/detail/admission/shared_admission.hpp
@@ -34,12 +34,13 @@
 /// decides for all instances.
 ///
 /// Addresses overload by many instances, each of which seldom hears of a server: requests in flight are counted
-/// exactly, and all wait in one queue. No server gets more requests than it has slots. The queue's order is: requests
-/// of a kind that is served too seldom, requests that can still meet their target, priority, arrival. Requests of one
-/// priority are a kind. A request that cannot be served within its wait limit is refused at once. An admission expires
-/// at the request's deadline, so that a lost instance holds no slot. A server that completes nothing gets only probe
-/// requests. Requests that this coordinator does not know of (admitted by a former one, or by an instance on its own)
-/// are bounded by the load that servers report.
+/// exactly, and all wait in one queue. No server gets more requests than it has slots and Options::extraInFlight. The
+/// queue's order is: requests of a kind that is served too seldom, requests that can still meet their target, priority,
+/// arrival. Requests of one priority are a kind. A request whose expected wait is far above its wait limit is refused
+/// at once; one that waits longer than expected is refused at the limit. An admission expires at the request's
+/// deadline, so that a lost instance holds no slot. A server that completes nothing gets only probe requests. Requests
+/// that this coordinator does not know of (admitted by a former one, or by an instance on its own) are bounded by the
+/// load that servers report.
 class SharedAdmission {
 public:
     /// @brief A server as input of a selection.
