--- a/review/standins2.py
+++ b/review/standins2.py
@@ -337,26 +337,28 @@
         who = {"Acaciagauge-Instance-Id": self.id}
         if target and target != self.id:
             return response_bytes(421, {**who, "Acaciagauge-Not-Executed": "1"})
+        if request.header("Acaciagauge-Request-Id"):
+            who["Acaciagauge-Request-Id"] = request.header("Acaciagauge-Request-Id")
         if request.target == "/-/grant":
-            return self.grant(json.loads(request.body))
+            return self.grant(json.loads(request.body), who)
         if request.target == "/-/release":
-            return await self.release(json.loads(request.body))
+            return await self.release(json.loads(request.body), who)
         if request.target == "/health":
             return response_bytes(200 if self.state == "ready" else 503, who)
         return await self.run(request)
 
-    def grant(self, order):
+    def grant(self, order, who):
         keys = range(order["from"], order["to"] + 1)
         if any(self.seen[k] > order["fence"] for k in keys):
-            return response_bytes(409)
+            return response_bytes(409, who)
         now = time.monotonic()
         self.world.note_grant(self, order)
         for k in keys:
             self.seen[k] = order["fence"]
             self.hold_end[k] = now + order["hold_ms"] / 1000
-        return response_bytes(200)
+        return response_bytes(200, who)
 
-    async def release(self, order):
+    async def release(self, order, who):
         self.world.record(f"{self.id} gets the release of {order['from']}-{order['to']}, fence {order['fence']}")
         for k in range(order["from"], order["to"] + 1):
             if self.hold_end[k] > time.monotonic():
@@ -364,7 +366,7 @@
             self.hold_end[k] = 0.0
         while any(order["from"] <= key <= order["to"] for key in self.running.values()):
             await asyncio.sleep(0.005)
-        return response_bytes(200, {"Acaciagauge-Lease-Handover": os.urandom(8).hex()})
+        return response_bytes(200, {**who, "Acaciagauge-Lease-Handover": os.urandom(8).hex()})
 
     async def run(self, request):
         name = request.header("Acaciagauge-Request-Id")
@@ -377,7 +379,7 @@
         self.running[name] = key
         work = float(request.header("X-Work-S", str(self.work_s)))
         await asyncio.sleep(work)
-        del self.running[name]
+        self.running.pop(name, None)
         self.world.record(f"{self.id} has run {name}")
         if self.answer_hook:
             special = self.answer_hook(self, request, who)
@@ -584,6 +586,61 @@
     return False
 
 
+async def stays_within_memory(world, daemon, memory_mb, watched_s):
+    """Does what the platform does: kills the process once it exceeds the memory of its machine."""
+    limit_kib = memory_mb * 1024
+    until = time.monotonic() + watched_s
+    while time.monotonic() < until:
+        used = daemon.memory_kib()
+        if used > limit_kib:
+            world.record(f"{daemon.name} uses {used} KiB, its machine has {limit_kib} KiB: the platform kills it")
+            daemon.process.kill()
+            await daemon.process.wait()
+            return False
+        await asyncio.sleep(0.1)
+    world.record(f"{daemon.name} lives; resident memory at its peak {daemon.memory_kib('VmHWM')} KiB of {limit_kib}")
+    return True
+
+
+async def check_ends(world, machines, memory_mb, send_crowd, watched_s=3, rounds=3):
+    """Checks Fault: sends a crowd to each of the machines three times, and starts a process again that has ended."""
+    ends = {}
+    await world.store.start()
+    await world.configure()
+    await world.add_server("i-0")
+    for n in range(machines):
+        daemon = await world.start_daemon(f"d{n}")
+        ends[daemon.name] = 0
+        for _ in range(rounds):
+            if not await wait_until_serving(world, daemon, keys=[0, 40000]):
+                raise RuntimeError("the daemon does not serve")
+            sockets = []
+            await send_crowd(daemon, sockets)
+            lives = await stays_within_memory(world, daemon, memory_mb, watched_s)
+            await ask(world, daemon, "/view/1", key=5)
+            for it in sockets:
+                it.close()
+            if not lives:
+                ends[daemon.name] += 1
+                daemon = await world.start_daemon(daemon.name, ports=daemon.ports)
+    if sum(it >= rounds for it in ends.values()) >= 2:
+        world.violate(f"Fault: processes ended by themselves (memory over the limit) three times on each of these "
+                      f"machines: {', '.join(ends)}")
+
+
+async def send_on_new_connection(daemon, data, sockets):
+    """Sends bytes and leaves the connection open; the daemon may refuse such a client or close its connection."""
+    client = socket.socket()
+    sockets.append(client)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    try:
+        await asyncio.wait_for(loop.sock_connect(client, ("127.0.0.1", daemon.ports["front"])), 5)
+        await asyncio.wait_for(loop.sock_sendall(client, data), 10)
+    except (OSError, asyncio.TimeoutError):
+        pass
+
+
 def raise_descriptor_limit(needed):
     """Allows this process and its children as many descriptors as the case needs, within the hard limit."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
