--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A faulty server answers an earlier grant once more, late: the controller takes the copy as the answer to a release."""
+"""Another writer's entry has a start time that is no whole number: keys of a live server are given away without a release."""
 import asyncio
 import pathlib
 import sys
@@ -6,7 +6,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from standins2 import LAST_KEY, World, ask, run_case, wait_until_serving  # noqa: E402
 
-WORK_S = 2.5
+WORK_S = 1.5
+BIDS = 6
 
 
 async def main(record, trouble):
@@ -20,21 +21,25 @@
         for it in daemons:
             if not await wait_until_serving(world, it):
                 raise RuntimeError("the daemons do not serve")
-        # Renewals have gone over the connections that carry orders.
-        await asyncio.sleep(6)
+        await asyncio.sleep(3)
         leaver = world.servers[0]
-        keys = [next((k for k in range(chunk, chunk + 4096, 16) if leaver.holds(k)), None)
+        if trouble:
+            entry = {"address": leaver.address, "born": leaver.born + 60000.5,
+                     "info": {"service": "floor", "version": "v1", "zone": "z-a", "concurrency": 4},
+                     "status": {"state": "ready", "sequence": 1, "warmup_left_ms": 0}}
+            await world.store.put("servers/agent-1", entry)
+            world.record(f"another writer puts servers/agent-1: {entry}")
+        await asyncio.sleep(1)
+        held = [next((k for k in range(chunk, chunk + 4096, 16) if leaver.holds(k)), None)
                 for chunk in range(0, LAST_KEY, 4096)]
-        work = [asyncio.ensure_future(ask(world, daemons[0], "/bid/1", key=k, method="POST", body=b"bid",
-                                          headers={"X-Work-S": str(WORK_S)})) for k in keys if k is not None][:8]
-        await asyncio.sleep(0.4)
-        leaver.extra_answers = 1 if trouble else 0
+        keys = [k for k in held if k is not None][:BIDS]
+        bids = [asyncio.ensure_future(ask(world, daemons[0], "/bid/1", key=k, method="POST", body=b"bid",
+                                          headers={"X-Work-S": str(WORK_S)})) for k in keys]
+        await asyncio.sleep(0.3)
         await leaver.drain()
         world.record(f"{leaver.id} reports draining; it is at work on {sorted(leaver.running.values())}")
-        await asyncio.gather(*work)
-        await asyncio.sleep(3)
-        if trouble and leaver.extra_answers:
-            world.record("no release of these keys came over a connection that had carried a grant: no extra answer was due")
+        await asyncio.gather(*bids)
+        await asyncio.sleep(2)
     finally:
         status = await world.finish()
     return status
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -269,12 +269,12 @@
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.sequence = 0
-        self.held = {}  # Key ranges as (from, to) -> (fence, end of the hold)
         self.seen = [0] * (LAST_KEY + 1)  # Highest fence by key.
         self.hold_end = [0.0] * (LAST_KEY + 1)
         self.work_s = 0.01
         self.running = {}  # Request id -> key
-        self.extra_answers = 0  # Answers to grants that are still sent once more, late.
+        self.released = {}  # Key -> when the hold would have run out that a release ended
+        self.connections = set()
         self.answer_hook = None  # Returns the bytes of another answer than the usual one, or None.
 
     @property
@@ -297,6 +297,22 @@
             await self.publish()
             await asyncio.sleep(0.87)
 
+    def end(self):
+        """Ends the process: it answers nothing any more and knows nothing afterwards."""
+        self.server.close()
+        self.beats.cancel()
+        for it in list(self.connections):
+            it.transport.abort()
+        self.seen = [0] * (LAST_KEY + 1)
+        self.hold_end = [0.0] * (LAST_KEY + 1)
+        self.sequence = 0
+
+    async def start_again(self, born):
+        """Starts the process again under the same id and address."""
+        self.born = born
+        self.state = "ready"
+        await self.start()
+
     async def drain(self):
         self.state = "draining"
         await self.publish()
@@ -305,33 +321,19 @@
         return self.hold_end[key] > time.monotonic()
 
     async def serve(self, reader, writer):
-        earlier = None
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connections.add(writer)
         try:
             while request := await read_message(reader):
-                if earlier and self.is_extra_due(request):
-                    # An extra response, late: it comes where the next response is expected.
-                    self.extra_answers -= 1
-                    self.world.record(f"{self.id} sends its answer to the earlier grant once more, where the answer to "
-                                      f"{request.target} {request.body.decode()} is expected")
-                    writer.write(earlier)
-                    await writer.drain()
                 answer = await self.handle(request)
-                earlier = answer if request.target == "/-/grant" else None
                 writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
-    def is_extra_due(self, request):
-        """Returns whether the request is a release of keys on which work is running."""
-        if self.extra_answers == 0 or request.target != "/-/release":
-            return False
-        order = json.loads(request.body)
-        return any(order["from"] <= key <= order["to"] for key in self.running.values())
-
     async def handle(self, request):
         target = request.header("Acaciagauge-Target-Instance")
         who = {"Acaciagauge-Instance-Id": self.id}
@@ -361,8 +363,7 @@
     async def release(self, order, who):
         self.world.record(f"{self.id} gets the release of {order['from']}-{order['to']}, fence {order['fence']}")
         for k in range(order["from"], order["to"] + 1):
-            if self.hold_end[k] > time.monotonic():
-                self.world.released_hold[self.id, k] = self.hold_end[k]
+            self.released[k] = max(self.released.get(k, 0), self.hold_end[k])
             self.hold_end[k] = 0.0
         while any(order["from"] <= key <= order["to"] for key in self.running.values()):
             await asyncio.sleep(0.005)
@@ -402,7 +403,6 @@
         self.store = Store()
         self.servers = []
         self.runs = []
-        self.released_hold = {}
         self.broken = []
         self.sharded = sharded
         self.limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000,
@@ -425,10 +425,8 @@
         self.record(f"{server.id} gets a grant of {order['from']}-{order['to']}, fence {order['fence']}, "
                     f"{order['hold_ms']} ms, {'with' if order.get('handover') else 'without'} handover")
         for other in self.servers:
-            if other is server:
-                continue
-            for name, key in other.running.items():
-                hold = max(other.hold_end[key], self.released_hold.get((other.id, key), 0))
+            for name, key in other.running.items() if other is not server else ():
+                hold = max(other.hold_end[key], other.released.get(key, 0))
                 if order["from"] <= key <= order["to"] and hold > now:
                     self.violate(f"OWNER: {server.id} is given key {key} while {other.id} is still at work on it "
                                  f"({name}), {hold - now:.1f} s before that one's hold would have run out")
