--- a/include/acaciagauge/acaciagauge.hpp
+++ b/include/acaciagauge/acaciagauge.hpp
@@ -13,6 +13,7 @@
 #include "acaciagauge/detail/assignment/home_map.hpp"
 #include "acaciagauge/detail/charts/chart.hpp"
 #include "acaciagauge/detail/common/ids.hpp"
+#include "acaciagauge/detail/common/json_numbers.hpp"
 #include "acaciagauge/detail/common/result.hpp"
 #include "acaciagauge/detail/common/time.hpp"
 #include "acaciagauge/detail/config/configuration_check.hpp"
--- a/src/core/assignment/domain_record.cpp
+++ b/src/core/assignment/domain_record.cpp
@@ -25,9 +25,9 @@
     RenewerSet readSet(const Json& document)
     {
         RenewerSet set;
-        set.epoch = document.at("epoch").get<Epoch>();
+        set.epoch = readWholeField<Epoch>(document, "epoch");
         for (const auto& it : document.at("members"))
-            set.members.push_back({ it.at(0).get<InstanceId>(), it.at(1).get<Incarnation>() });
+            set.members.push_back({ it.at(0).get<InstanceId>(), readWhole<Incarnation>(it.at(1)) });
         return set;
     }
 
@@ -71,19 +71,20 @@
         DomainRecord record;
         record.domain = document.at("domain").get<DomainId>();
         record.controller.id = document.at("controller").at(0).get<InstanceId>();
-        record.controller.incarnation = document.at("controller").at(1).get<Incarnation>();
+        record.controller.incarnation = readWhole<Incarnation>(document.at("controller").at(1));
         record.renewers = readSet(document.at("renewers"));
         for (const auto& it : document.at("former"))
             record.former.push_back(readSet(it));
-        record.version = document.at("version").get<std::uint64_t>();
+        record.version = readWholeField<std::uint64_t>(document, "version");
         record.writer = document.at("writer").get<std::string>();
         for (const auto& it : document.at("items")) {
             auto service = it.at(0).get<ServiceName>();
-            ItemOwner owner { it.at(1).get<ServerId>(), { it.at(2).get<Epoch>(), it.at(3).get<std::uint64_t>() } };
+            ItemOwner owner { it.at(1).get<ServerId>(),
+                { readWhole<Epoch>(it.at(2)), readWhole<std::uint64_t>(it.at(3)) } };
             for (const auto& partition : it.at(4))
-                record.items[{ service, partition.get<std::uint32_t>(), "" }] = owner;
+                record.items[{ service, readWhole<std::uint32_t>(partition), "" }] = owner;
             for (const auto& key : it.at(5))
-                record.items[{ service, key.at(0).get<std::uint32_t>(), key.at(1).get<std::string>() }] = owner;
+                record.items[{ service, readWhole<std::uint32_t>(key.at(0)), key.at(1).get<std::string>() }] = owner;
         }
         return record;
     } catch (const Json::exception& error) {
--- a/src/core/assignment/home_map.cpp
+++ b/src/core/assignment/home_map.cpp
@@ -66,10 +66,12 @@
     try {
         HomeMap map;
         map.service = document.at("service").get<ServiceName>();
-        map.version = document.at("version").get<std::uint64_t>();
+        map.version = readWholeField<std::uint64_t>(document, "version");
         map.domains = document.at("domains").get<std::vector<DomainId>>();
-        map.homes = document.at("homes").get<std::vector<std::uint16_t>>();
-        map.epochs = document.at("epochs").get<std::map<DomainId, Epoch>>();
+        for (const auto& it : document.at("homes").get_ref<const nlohmann::json::array_t&>())
+            map.homes.push_back(readWhole<std::uint16_t>(it));
+        for (const auto& it : document.at("epochs").get_ref<const nlohmann::json::object_t&>())
+            map.epochs[it.first] = readWhole<Epoch>(it.second);
         for (auto it : map.homes) {
             if (it >= map.domains.size())
                 return failure(ResultCode::malformedRequest, "home index " + std::to_string(it) + " is out of range");
--- a/src/core/ownership/key_ranges.cpp
+++ b/src/core/ownership/key_ranges.cpp
@@ -20,13 +20,13 @@
     try {
         auto document = Json::parse(text);
         OwnerChunk chunk;
-        chunk.epoch = document.at("epoch").get<Epoch>();
+        chunk.epoch = readWholeField<Epoch>(document, "epoch");
         KeyNumber next = number * keysPerChunk;
         auto last = next + keysPerChunk - 1;
-        for (const auto& it : document.at("owners")) {
+        for (const auto& it : document.at("owners").get_ref<const Json::array_t&>()) {
             RangeOwner owner;
-            owner.range = { it.at(0).get<KeyNumber>(), it.at(1).get<KeyNumber>() };
-            owner.owner = { it.at(2).get<ServerId>(), it.at(3).get<std::int64_t>() };
+            owner.range = { readWhole<KeyNumber>(it.at(0)), readWhole<KeyNumber>(it.at(1)) };
+            owner.owner = { it.at(2).get<ServerId>(), readWhole<std::int64_t>(it.at(3), 0) };
             if (owner.range.from < next || owner.range.to < owner.range.from || owner.range.to > last)
                 return failure(ResultCode::malformedRequest,
                     "range that starts at key " + std::to_string(owner.range.from)
--- a/src/core/tickets/ticket.cpp
+++ b/src/core/tickets/ticket.cpp
@@ -271,14 +271,16 @@
 {
     try {
         Configuration configuration;
-        configuration.number = document.at("number").get<TicketNumber>();
+        configuration.number = readWholeField<TicketNumber>(document, "number");
         configuration.writer = document.at("writer").get<std::string>();
         for (const auto& it : document.at("services").items())
             configuration.services[it.key()] = readService(it.key(), it.value());
         for (const auto& it : document.at("domains").items())
             configuration.domains[it.key()] = DomainSpec { it.key(), it.value().at("lost").get<bool>() };
-        configuration.serviceTickets = document.at("serviceTickets").get<std::map<ServiceName, TicketNumber>>();
-        configuration.domainTickets = document.at("domainTickets").get<std::map<DomainId, TicketNumber>>();
+        for (const auto& it : document.at("serviceTickets").get_ref<const Json::object_t&>())
+            configuration.serviceTickets[it.first] = readWhole<TicketNumber>(it.second);
+        for (const auto& it : document.at("domainTickets").get_ref<const Json::object_t&>())
+            configuration.domainTickets[it.first] = readWhole<TicketNumber>(it.second);
         return configuration;
     } catch (const FieldError& error) {
         return failure(ResultCode::malformedTicket, error.message);
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -13,16 +13,21 @@
 
     constexpr auto callTimeout = std::chrono::milliseconds(500);
 
+    /// Returns an empty value with its default outcome if the body is malformed.
     StoredValue decode(const std::string& body)
     {
-        auto document = Json::parse(body, nullptr, false);
         StoredValue value;
-        if (!document.is_object())
+        try {
+            auto document = Json::parse(body);
+            if (document.contains("revision"))
+                value.revision = readWholeField<std::uint64_t>(document, "revision");
+            value.value = document.value("value", std::string());
+            value.outcome = StoreOutcome::ok;
             return value;
-        value.outcome = StoreOutcome::ok;
-        value.revision = document.value("revision", std::uint64_t { 0 });
-        value.value = document.value("value", std::string());
-        return value;
+        } catch (const Json::exception& error) {
+            logEvent(LogLevel::warn, LogEvent::documentSkipped, { { "reason", error.what() } });
+            return {};
+        }
     }
 
 } // namespace
@@ -83,7 +88,10 @@
     StoredValue result;
     if (status == 200 || status == 409) {
         result = decode(exchange.response.body());
-        result.outcome = status == 200 ? StoreOutcome::ok : StoreOutcome::conflict;
+        if (result.outcome != StoreOutcome::ok)
+            result.outcome = StoreOutcome::unknown;
+        else if (status != 200)
+            result.outcome = StoreOutcome::conflict;
         co_return result;
     }
     bool isNotWritten = exchange.state == net::ExchangeState::connectionRefused
--- a/src/entry/store_keys.cpp
+++ b/src/entry/store_keys.cpp
@@ -17,6 +17,15 @@
         return isWhole ? std::optional(number) : std::nullopt;
     }
 
+    /// @throw Json::exception if the value is not a non-negative number
+    double readCores(const Json& value)
+    {
+        auto cores = value.is_number() ? value.get<double>() : -1.0;
+        if (!(cores >= 0))
+            throw Json::out_of_range::create(401, describeNumber(value) + " is not a number of cores", &value);
+        return cores;
+    }
+
 } // namespace
 
 std::string encodeMember(const MemberRecord& member)
@@ -30,8 +39,11 @@
 {
     try {
         auto document = Json::parse(text);
-        return MemberRecord { document.at("id").get<InstanceId>(), document.at("domain").get<DomainId>(),
-            document.at("rpc").get<std::string>(), document.value("cores", 0.0) };
+        MemberRecord member { document.at("id").get<InstanceId>(), document.at("domain").get<DomainId>(),
+            document.at("rpc").get<std::string>(), 0 };
+        if (document.contains("cores"))
+            member.cores = readCores(document.at("cores"));
+        return member;
     } catch (const Json::exception& error) {
         return failure(ResultCode::malformedRequest, error.what());
     }
@@ -51,9 +63,9 @@
         auto document = Json::parse(text);
         std::optional<StoreEra> era;
         if (document.contains("era"))
-            era = document.at("era").get<StoreEra>();
-        return ControllerRecord { document.at("id").get<InstanceId>(), document.at("epoch").get<Epoch>(),
-            document.at("rpc").get<std::string>(), document.at("lease").get<std::uint64_t>(),
+            era = readWholeField<StoreEra>(document, "era");
+        return ControllerRecord { document.at("id").get<InstanceId>(), readWholeField<Epoch>(document, "epoch"),
+            document.at("rpc").get<std::string>(), readWholeField<std::uint64_t>(document, "lease"),
             document.at("token").get<std::string>(), era };
     } catch (const Json::exception& error) {
         return failure(ResultCode::malformedRequest, error.what());
--- a/src/net/server_codec.cpp
+++ b/src/net/server_codec.cpp
@@ -18,7 +18,7 @@
 
     Item readItem(const Json& document)
     {
-        return { document.at(0).get<std::string>(), document.at(1).get<std::uint32_t>(),
+        return { document.at(0).get<std::string>(), readWhole<std::uint32_t>(document.at(1)),
             document.at(2).get<std::string>() };
     }
 
@@ -29,7 +29,7 @@
 
     Fence readFence(const Json& document)
     {
-        return { document.at(0).get<Epoch>(), document.at(1).get<std::uint64_t>() };
+        return { readWhole<Epoch>(document.at(0)), readWhole<std::uint64_t>(document.at(1)) };
     }
 
     Json stampJson(const Stamp& stamp)
@@ -39,7 +39,7 @@
 
     Stamp readStamp(const Json& document)
     {
-        return { document.at(0).get<Incarnation>(), document.at(1).get<std::int64_t>() };
+        return { readWhole<Incarnation>(document.at(0)), readWhole<std::int64_t>(document.at(1)) };
     }
 
     OrderKind readKind(const std::string& name)
@@ -72,9 +72,9 @@
         auto document = Json::parse(text);
         ServerOrder order;
         order.kind = readKind(document.at("kind").get<std::string>());
-        order.epoch = document.at("epoch").get<Epoch>();
+        order.epoch = readWholeField<Epoch>(document, "epoch");
         order.stamp = readStamp(document.at("stamp"));
-        order.duration = Duration(document.at("durationUs").get<Duration::rep>());
+        order.duration = Duration(readWholeField<Duration::rep>(document, "durationUs"));
         if (document.contains("items")) {
             order.fence = readFence(document.at("fence"));
             for (const auto& it : document.at("items"))
@@ -105,10 +105,10 @@
     try {
         auto document = Json::parse(text);
         ServerAnswer answer;
-        answer.code = static_cast<ResultCode>(document.at("code").get<int>());
+        answer.code = static_cast<ResultCode>(readWholeField<int>(document, "code"));
         answer.stamp = readStamp(document.at("stamp"));
-        answer.highestEpoch = document.at("highestEpoch").get<Epoch>();
-        answer.heldDigest = document.at("heldDigest").get<std::uint64_t>();
+        answer.highestEpoch = readWholeField<Epoch>(document, "highestEpoch");
+        answer.heldDigest = readWholeField<std::uint64_t>(document, "heldDigest");
         answer.released = document.at("released").get<bool>();
         answer.draining = document.at("draining").get<bool>();
         answer.load = document.at("load").get<double>();
--- a/tests/test_campaign.cpp
+++ b/tests/test_campaign.cpp
@@ -1,6 +1,7 @@
 #include "entry/campaign.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace acaciagauge;
 using namespace acaciagauge::entry;
@@ -76,3 +77,25 @@
     CHECK(decodeEpoch(encodeEpoch({ 7, 2 })).era == 2);
     CHECK(decodeEpoch("7").epoch == 7);
 }
+
+// Guards against a record whose numbers are cut off or wrap around: a controller would count as one of another epoch.
+TEST_CASE("a controller's or a member's record with a number of another kind is refused")
+{
+    auto controller = nlohmann::json::parse(encodeController({ "a", 5, "10.0.0.1:7500", 3, "t", 2 }));
+    REQUIRE(decodeController(controller.dump()));
+    auto field = GENERATE(as<std::string> {}, "epoch", "lease", "era");
+    for (const auto* it : { "5.5", "5.0", "-1", "true", "null", "\"5\"", "1e300" }) {
+        auto changed = controller;
+        changed[field] = nlohmann::json::parse(it);
+        CAPTURE(field, it);
+        CHECK_FALSE(decodeController(changed.dump()));
+    }
+    auto member = nlohmann::json::parse(encodeMember({ "e1", "a", "10.0.0.1:80", 0.25 }));
+    REQUIRE(decodeMember(member.dump()));
+    for (const auto* it : { "-1", "true", "null", "\"5\"" }) {
+        auto changed = member;
+        changed["cores"] = nlohmann::json::parse(it);
+        CAPTURE(it);
+        CHECK_FALSE(decodeMember(changed.dump()));
+    }
+}
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -145,6 +145,45 @@
     CHECK_FALSE(decode("i-1", document.dump()));
 }
 
+// Guards against another writer's entry that passes for a newer process at a live server's address: the server's keys
+// were given to others without a release.
+TEST_CASE("an entry with a number that is not a whole number names no server")
+{
+    auto decode = platform::documentsPort().decodeServer;
+    auto field
+        = GENERATE(as<std::string> {}, "/born", "/info/concurrency", "/status/sequence", "/status/warmup_left_ms");
+    auto number
+        = GENERATE(as<std::string> {}, "2.5", "5.0", "5e0", "1796610031969.5", "1796610031969.00001", "-0.0", "1e-9");
+    CAPTURE(field, number);
+    auto document = nlohmann::json::parse(server);
+    document[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(number);
+    CHECK_FALSE(decode("i-1", document.dump()));
+}
+
+TEST_CASE("a desired state with a number that is not a whole number, or out of range, is refused")
+{
+    auto decode = platform::documentsPort().decodeDesiredState;
+    auto field = GENERATE(as<std::string> {}, "/version", "/routes/rows/0/6", "/routes/rows/0/7/0/weight",
+        "/routes/rows/0/8", "/services/rows/0/2", "/limits/max_header_bytes", "/limits/max_body_bytes");
+    auto number = GENERATE(as<std::string> {}, "2.5", "-1", "1e300", "true", "\"7\"");
+    CAPTURE(field, number);
+    auto document = nlohmann::json::parse(configuration);
+    document[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(number);
+    CHECK_FALSE(decode(document.dump()));
+}
+
+TEST_CASE("a desired state with a duration that is negative, endless or no number is refused")
+{
+    auto decode = platform::documentsPort().decodeDesiredState;
+    auto field = GENERATE(as<std::string> {}, "/routes/rows/0/4", "/routes/rows/0/5", "/services/rows/0/6",
+        "/limits/header_timeout_ms", "/limits/idle_timeout_ms");
+    auto number = GENERATE(as<std::string> {}, "-1", "1e300", "true", "\"7\"", "[2]");
+    CAPTURE(field, number);
+    auto document = nlohmann::json::parse(configuration);
+    document[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(number);
+    CHECK_FALSE(decode(document.dump()));
+}
+
 TEST_CASE("a reported load is decoded only if it is complete")
 {
     auto parse = platform::requestDialect().parseLoad;
@@ -224,3 +263,15 @@
     CHECK(!decodeOwnerChunk(0, R"({"epoch":1,"owners":[[10,5,"a",1]]})"));
     CHECK(!decodeOwnerChunk(0, R"({"epoch":1,"owners":[[0,4096,"a",1]]})"));
 }
+
+// Guards against a record whose numbers are cut off or wrap around: other keys would count as owned.
+TEST_CASE("an owner record with a number that is not a whole number in range is refused")
+{
+    auto field = GENERATE(as<std::string> {}, "/epoch", "/owners/0/0", "/owners/0/1", "/owners/0/3");
+    auto number = GENERATE(as<std::string> {}, "7.5", "7.0", "-1", "true", "\"7\"", "1e300", "18446744073709551616");
+    CAPTURE(field, number);
+    auto document = nlohmann::json::parse(R"({"epoch":1,"owners":[[0,10,"a",1]]})");
+    REQUIRE(decodeOwnerChunk(0, document.dump()));
+    document[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(number);
+    CHECK_FALSE(decodeOwnerChunk(0, document.dump()));
+}
