Do not take an entry for a proof that the server at its address has ended (OWNER)

Callers: requests on a live server's keys ran at another server that had been given the keys without a release.

Cause: dropReplacedOwners() took any entry with an owner's address and a later start for a proof that the owner's process had ended, and forgot its grants, at each change of an entry. Any writer of the store can put such an entry.

Change: such an entry makes the owner's next order due at once. A process that is not the owner rejects it, which is a proof; the owner renews.

--- a/include/acaciagauge/detail/ownership/key_assigner.hpp
+++ b/include/acaciagauge/detail/ownership/key_assigner.hpp
@@ -232,7 +232,7 @@
     void reportIfRecorded();
     void onLoad(const KeyLoadReported& event, TimePoint now);
 
-    void dropReplacedOwners();
+    void checkOwnersAt(const std::map<std::string, const ServerEntry*>& joined, TimePoint now);
     static Service newService(TimePoint now);
     bool applyEvent(Range& range, RangeEvent event);
     void advanceAll(const ServiceName& name, Service& service, TimePoint now);
--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -238,13 +238,21 @@
     std::map<ServerId, KnownServer> servers;
     for (const auto& it : event.servers)
         servers.emplace(it.entry.run.id, it);
+    std::map<std::string, const ServerEntry*> newestAt;
     for (const auto& it : servers) {
+        const auto& entry = it.second.entry;
         auto known = m_servers.find(it.first);
-        if (known == m_servers.end() || known->second.entry.run != it.second.entry.run)
-            m_lastJoinedAt[it.second.entry.service] = now;
+        bool isNewRun = known == m_servers.end() || known->second.entry.run != entry.run;
+        if (isNewRun)
+            m_lastJoinedAt[entry.service] = now;
+        if (!isNewRun && known->second.entry.address == entry.address)
+            continue;
+        auto& newest = newestAt[entry.address];
+        if (!newest || newest->run.startedMs < entry.run.startedMs)
+            newest = &entry;
     }
     m_servers = std::move(servers);
-    dropReplacedOwners();
+    checkOwnersAt(newestAt, now);
     for (auto& service : m_services) {
         for (auto& it : service.second.ranges) {
             auto& range = it.second;
@@ -256,22 +264,26 @@
     }
 }
 
-// A process has ended once a newer one uses its address.
-void KeyAssigner::dropReplacedOwners()
+// A newer server at an owner's address suggests that the owner's process has ended, but its entry proves nothing:
+// another writer may have put it, and a server that is up keeps its keys. The next order is sent at once instead; a
+// process that is not the owner rejects it.
+void KeyAssigner::checkOwnersAt(const std::map<std::string, const ServerEntry*>& joined, TimePoint now)
 {
-    std::map<std::string, const ServerEntry*> newest;
-    for (const auto& it : m_servers) {
-        auto& entry = newest[it.second.entry.address];
-        if (!entry || entry->run.startedMs < it.second.entry.run.startedMs)
-            entry = &it.second.entry;
-    }
+    if (joined.empty())
+        return;
     for (auto& service : m_services) {
         for (auto& it : service.second.ranges) {
-            auto owner = m_servers.find(it.second.owner.id);
-            if (it.second.state == RangeState::unowned || owner == m_servers.end())
+            auto& range = it.second;
+            auto owner = m_servers.find(range.owner.id);
+            if (range.state == RangeState::unowned || owner == m_servers.end())
+                continue;
+            auto newer = joined.find(owner->second.entry.address);
+            if (newer == joined.end() || newer->second->run.startedMs <= range.owner.startedMs
+                || newer->second->run.id == range.owner.id)
                 continue;
-            if (newest.at(owner->second.entry.address) != &owner->second.entry)
-                markLost(service.first, it.second, "a newer process uses its address");
+            logDecision(service.first, range, "check",
+                "server " + newer->second->run.id + " has its address and a later start");
+            range.nextOrderAt = now;
         }
     }
 }
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -332,6 +332,16 @@
     });
 }
 
+void KeyOwnershipSimulation::addForeignEntry(std::size_t n, const ServiceName& name)
+{
+    auto address = m_servers[n].entry.address;
+    addServer();
+    m_servers.back().isUp = false;
+    m_servers.back().entry.address = address;
+    m_servers.back().entry.service = name;
+    sendServers();
+}
+
 void KeyOwnershipSimulation::setDraining(std::size_t n, bool draining)
 {
     m_servers[n].entry.draining = draining;
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -35,6 +35,8 @@
     void crash(std::size_t n); ///< The process ends; its entry expires later.
     void restart(std::size_t n); ///< The process ends and starts again under its id.
     void reuseAddress(std::size_t n); ///< The process ends; another server starts at its address.
+    /// Another writer puts an entry with the server's address and a later start; no process belongs to it.
+    void addForeignEntry(std::size_t n, const ServiceName& name);
     void setDraining(std::size_t n, bool draining);
     void setEvacuated(std::size_t firstServer, std::size_t endServer, bool evacuated);
     /// The server keeps serving, but controllers cannot reach it.
--- a/tests/test_key_ownership.cpp
+++ b/tests/test_key_ownership.cpp
@@ -195,6 +195,26 @@
     CHECK(simulation.servedKeyCount() == simulation.sampledKeyCount());
 }
 
+// Guards against an entry of another writer that ends a live server's grants: its keys were given to others while it
+// was at work on them.
+TEST_CASE("an entry with a later start at a live server's address does not end the server's grants")
+{
+    auto service = GENERATE(as<ServiceName> {}, "another", KeyOwnershipSimulation::service);
+    CAPTURE(service);
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        auto simulation = settledSimulation(seed);
+        auto owner = simulation.holder(0);
+        auto n = static_cast<std::size_t>(std::stoi(owner->substr(1)));
+        simulation.addForeignEntry(n, service);
+        simulation.run(500ms);
+        CHECK(simulation.holder(0) == owner);
+        simulation.setDraining(n, true);
+        simulation.run(10s);
+        CHECK(simulation.violation() == "");
+        CHECK(simulation.holder(0) != owner);
+    }
+}
+
 TEST_CASE("keys of an unreachable server are not reassigned until its grants have expired")
 {
     auto simulation = settledSimulation();
