Keep the known controller and member when their record is malformed

Callers: none has been seen to be harmed. Another writer's bytes in the key of the controller or of a member made every instance forget a live controller (all campaigned, and failed while the key existed) or count a member less.

Cause: Catalog forgot the former record before it decoded the new one, unlike servers' entries and the desired state.

Change: a record that cannot be decoded changes nothing that stood.

Evidence: test_catalog "a malformed record of a controller or a member" fails on the former code and passes now.

--- a/src/entry/catalog.cpp
+++ b/src/entry/catalog.cpp
@@ -237,15 +237,18 @@
         m_missingMembers.emplace(id, monotonicNow() + memberReturnTime);
         return;
     }
+    std::optional<MemberRecord> member;
+    if (!change.removed) {
+        auto decoded = decodeMember(change.item.value);
+        if (!decoded)
+            return logSkipped(change, decoded.error().message);
+        member = *decoded;
+    }
     ++m_memberChanges;
     m_missingMembers.erase(id);
     m_members.erase(id);
-    if (change.removed)
-        return;
-    auto member = decodeMember(change.item.value);
-    if (!member)
-        return logSkipped(change, member.error().message);
-    m_members[id] = *member;
+    if (member)
+        m_members[id] = *member;
 }
 
 void Catalog::applyController(const StoreChange& change)
@@ -258,10 +261,8 @@
         return;
     }
     auto controller = decodeController(change.item.value);
-    if (!controller) {
-        m_controller.reset();
+    if (!controller)
         return logSkipped(change, controller.error().message);
-    }
     if (m_isRestoring && m_controller && controller->epoch < m_controller->epoch)
         return logSkipped(change, "the restored controller is of an earlier epoch");
     m_controller = *controller;
