--- a/tests/test_catalog.cpp
+++ b/tests/test_catalog.cpp
@@ -62,6 +62,18 @@
     }
 }
 
+// Guards against an entry whose key is no server's id: sent as a header, it would end the request that it belongs to.
+TEST_CASE("an entry under a key that cannot be a server's id names no server")
+{
+    Fixture fixture;
+    fixture.put("servers/s0", serverEntry("10.0.0.9:8080", "5"));
+    auto id = GENERATE(
+        as<std::string> {}, "", "x\r\nHost: other", "x\ny", "x y", std::string("x\0y", 3), "x\x7f", "x\xc3\xa4");
+    CAPTURE(id);
+    fixture.put("servers/" + id, serverEntry("10.0.0.9:8081", "6"));
+    CHECK(fixture.catalog.servers().servers().size() == 1);
+}
+
 TEST_CASE("a refused entry changes nothing that stood")
 {
     Fixture fixture;
