Draw all memory of a half-received response on the budget

Callers: while a faulty server sent bytes that were no answer, the process exceeded the memory of its machine and was killed, and the requests of all its callers ended with it.

Cause: the budget counted the body of a response only, after a read. Fields, trailers, the reason and the read buffer did not count: up to 316 KB for each response. http::async_read_some() goes on reading while a chunk's header is incomplete, so a body in small chunks was not counted while it grew. The store's responses and servers' answers to grants and releases had no budget, and idle connections kept large read buffers.

Change: HttpClient reads on its own and draws memory before each read and before each field (MessageParser). A response that has begun and makes no progress can be ended when its memory is needed. Orders to servers share the budget; the store's responses count, but are not refused.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -19,24 +19,34 @@
 /// A connection to the store or to a server is closed if sent data stays unacknowledged for this long.
 constexpr auto tcpUserTimeout = std::chrono::milliseconds(1000);
 
+/// Largest body of a server's answer to a grant or a release of keys, which has none of use.
+constexpr std::uint64_t maxOrderAnswerBytes = 16 * 1024;
+
 constexpr int exitInvalidSettings = 2;
 constexpr int exitUnfinished = 3; // Some requests were still in flight at the end.
 
 entry::Ports platformPorts(boost::asio::io_context& context, const Settings& settings)
 {
+    auto budget = entry::createBudget(settings);
     net::HttpClient::Options storeClient;
     storeClient.bodyLimit = net::maxAdminBodyBytes;
     storeClient.tcpUserTimeout = tcpUserTimeout;
     storeClient.readBufferBytes = net::maxReadAheadBytes;
+    storeClient.budget = budget;
+    // Without the store's responses, an instance that is short of memory would not learn what changes.
+    storeClient.mayExceedBudget = true;
     auto store = net::HttpClient::create(context, storeClient);
     net::HttpClient::Options orderClient;
     orderClient.tcpUserTimeout = tcpUserTimeout;
+    orderClient.bodyLimit = maxOrderAnswerBytes;
+    orderClient.budget = budget;
     auto orders = net::HttpClient::create(context, orderClient);
     entry::Ports ports;
     ports.store = platform::storePort(store, settings.platformAddress);
     ports.orders = platform::keyOrdersPort(orders);
     ports.documents = platform::documentsPort();
     ports.dialect = platform::requestDialect();
+    ports.budget = budget;
     return ports;
 }
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -60,7 +60,6 @@
     , m_settings(std::move(settings))
     , m_ports(std::move(ports))
     , m_metrics(daemon::Metrics::create())
-    , m_budget(createBudget())
     , m_catalog(context, m_ports.documents)
     , m_follower(context, selfRecord(), m_ports.store, m_catalog, followerHooks())
     , m_membership(context, selfRecord(), m_ports.store, m_catalog)
@@ -70,25 +69,32 @@
     , m_admission(context, { m_settings.instance, m_settings.coordination }, m_catalog, admissionHooks())
     , m_forwarder(context, forwarderOptions(), m_ports.dialect, m_catalog, forwarderHooks())
 {
+    observeBudget();
 }
 
-std::shared_ptr<net::BufferBudget> EntryNode::createBudget()
+std::shared_ptr<net::BufferBudget> createBudget(const daemon::Settings& settings)
 {
-    if (m_settings.memoryMb == 0)
+    if (settings.memoryMb == 0)
         return nullptr;
+    return net::BufferBudget::create(MemoryBudget::optionsFor(settings.memoryMb * bytesPerMb), {});
+}
+
+void EntryNode::observeBudget()
+{
+    if (!m_ports.budget)
+        return;
     net::BufferBudget::Hooks hooks;
     hooks.onRefused = [this](std::uint64_t bytes) {
         m_metrics->countBufferRefusal();
         logEvent(LogLevel::warn, LogEvent::messageUnbuffered,
-            { { "bytes", std::to_string(bytes) }, { "buffered", std::to_string(m_budget->used()) },
-                { "budget", std::to_string(m_budget->capacity()) } });
+            { { "bytes", std::to_string(bytes) }, { "buffered", std::to_string(m_ports.budget->used()) },
+                { "budget", std::to_string(m_ports.budget->capacity()) } });
     };
     hooks.onEnded = [this] {
         m_metrics->countEndedTransfer();
-        logEvent(LogLevel::warn, LogEvent::transferEnded, { { "buffered", std::to_string(m_budget->used()) } });
+        logEvent(LogLevel::warn, LogEvent::transferEnded, { { "buffered", std::to_string(m_ports.budget->used()) } });
     };
-    auto options = MemoryBudget::optionsFor(m_settings.memoryMb * bytesPerMb);
-    return net::BufferBudget::create(options, std::move(hooks));
+    m_ports.budget->setHooks(std::move(hooks));
 }
 
 MemberRecord EntryNode::selfRecord() const
@@ -193,7 +199,7 @@
     options.coordination = m_settings.coordination;
     // The remaining quarter is for connections in use.
     options.maxIdleConnections = connectionShare(m_settings) * 3 / 4;
-    options.budget = m_budget;
+    options.budget = m_ports.budget;
     return options;
 }
 
@@ -236,7 +242,7 @@
                                     std::shared_ptr<net::Cancellation> cancellation) {
         return m_forwarder.handle(std::move(request), std::move(cancellation), std::move(body));
     };
-    callers.budget = m_budget;
+    callers.budget = m_ports.budget;
     callers.limits = [this] { return callerLimits(); };
     callers.onMalformed = [](const std::string& reason) {
         logEvent(LogLevel::warn, LogEvent::requestMalformed, { { "reason", reason } });
@@ -348,8 +354,8 @@
 net::Response EntryNode::answerAdmin(const net::Request& request) const
 {
     auto path = net::pathOf(std::string(request.target()));
-    if (path == "/metrics" && m_budget)
-        m_metrics->setBuffered(m_budget->used(), m_budget->capacity());
+    if (path == "/metrics" && m_ports.budget)
+        m_metrics->setBuffered(m_ports.budget->used(), m_ports.budget->capacity());
     if (path == "/metrics")
         return net::makeResponse(200, m_metrics->text(), "text/plain; version=0.0.4");
     if (path == "/status")
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -16,8 +16,13 @@
     ports::KeyOrdersPort orders;
     ports::DocumentsPort documents;
     ports::RequestDialect dialect;
+    std::shared_ptr<net::BufferBudget> budget; ///< Shared with the clients of the other ports; null: no bound.
 };
 
+/// @brief Creates the budget for all messages that an instance buffers.
+/// @return null without the setting limits.memory_mb
+std::shared_ptr<net::BufferBudget> createBudget(const daemon::Settings& settings);
+
 /// @brief An instance on the users' platform that accepts callers' requests: creates and connects its components.
 class EntryNode {
 public:
@@ -39,7 +44,7 @@
     Result<bool> start();
     Result<bool> listen();
     Result<bool> startRpc();
-    std::shared_ptr<net::BufferBudget> createBudget();
+    void observeBudget();
     net::HttpServerLimits callerLimits() const;
     net::Response answerReadiness(const net::Request& request) const;
     net::Response answerAdmin(const net::Request& request) const;
@@ -60,7 +65,6 @@
     daemon::Settings m_settings;
     Ports m_ports;
     std::unique_ptr<daemon::Metrics> m_metrics;
-    std::shared_ptr<net::BufferBudget> m_budget; ///< Null without the setting limits.memory_mb.
     Catalog m_catalog;
     StoreFollower m_follower;
     Membership m_membership;
--- a/src/net/buffer_budget.hpp
+++ b/src/net/buffer_budget.hpp
@@ -47,6 +47,8 @@
 
     static std::shared_ptr<BufferBudget> create(MemoryBudget::Options options, Hooks hooks);
 
+    void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
+
     /// @brief Adds a message that holds no bytes yet.
     /// @param end ends the message if it is stalled and the budget is used up; must not destroy its lease at once
     Lease add(Phase phase, std::function<void()> end);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,13 @@
     /// Interim responses and responses to other requests that are skipped before the connection is closed.
     constexpr int maxStrayResponses = 3;
 
+    /// Memory of a response that is not drawn from the budget: the budget's share of a connection, and of the request
+    /// that it answers, covers it.
+    constexpr std::uint64_t undrawnBytes = 8 * 1024;
+
+    /// The budget is asked for multiples of this, not for each field.
+    constexpr std::uint64_t drawStepBytes = 4 * 1024;
+
     // Boost.Beast accepts any three digits, but HTTP defines only the classes 1xx to 5xx. 101 answers an upgrade, and
     // no request asks for one.
     bool isStatusDefined(unsigned status)
@@ -136,6 +143,10 @@
     bool hasRoom = idle.size() < m_options.maxIdlePerAddress && m_idleCount < m_options.maxIdleConnections;
     if (!isReusable || !hasRoom)
         return;
+    if (connection->buffer.capacity() > m_options.readBufferBytes) {
+        connection->buffer.shrink_to_fit();
+        connection->buffer.reserve(m_options.readBufferBytes);
+    }
     auto limit = parseKeepAliveTimeout(response);
     if (limit.count() > 0)
         connection->keepAliveTimeout = limit;
@@ -193,42 +204,109 @@
     co_return hasNoPendingData(connection);
 }
 
-// A body of unknown length is copied into a buffer of twice the size when it grows.
-bool HttpClient::drawResponse(const http::response_parser<http::string_body>& parser, Exchange& outcome)
+// Draws memory for a response that holds `bytes` in total.
+bool HttpClient::draw(Connection& connection, std::uint64_t bytes, Exchange& outcome) const
 {
-    if (!outcome.lease)
-        return true;
-    std::uint64_t size = parser.get().body().size();
-    auto length = parser.content_length();
-    bool isGrowing = !length && !parser.is_done();
-    if (outcome.lease->resize(length ? *length : isGrowing ? 2 * size : size))
+    if (!outcome.lease || bytes <= undrawnBytes + connection.drawn)
         return true;
-    outcome.error = "no memory for the response";
-    return false;
+    auto steps = (bytes - undrawnBytes + drawStepBytes - 1) / drawStepBytes;
+    if (m_options.mayExceedBudget) {
+        outcome.lease->record(steps * drawStepBytes);
+    } else if (!outcome.lease->resize(steps * drawStepBytes)) {
+        outcome.error = "no memory for the response";
+        return false;
+    }
+    connection.drawn = steps * drawStepBytes;
+    return true;
+}
+
+// Draws the memory that a response may hold after another read, and enlarges a read buffer that is full. A body of
+// unknown length is copied into a buffer of twice the size when it grows.
+beast::error_code HttpClient::prepareRead(Connection& connection, const ResponseParser& parser, Exchange& outcome) const
+{
+    auto& buffer = connection.buffer;
+    auto capacity = std::max(buffer.capacity(), m_options.readBufferBytes);
+    if (buffer.size() == capacity)
+        capacity = std::min(buffer.max_size(), 2 * capacity);
+    if (buffer.size() == capacity)
+        return make_error_code(http::error::buffer_overflow);
+    std::uint64_t body = 0;
+    if (parser.is_header_done()) {
+        auto length = parser.content_length();
+        body = length ? *length : 2 * (parser.get().body().size() + capacity);
+    }
+    if (!draw(connection, capacity + parser.headerMemory() + body, outcome))
+        return make_error_code(boost::system::errc::not_enough_memory);
+    buffer.reserve(capacity);
+    return {};
+}
+
+// Returns without an error at the end of the stream if that completes the response.
+asio::awaitable<beast::error_code> HttpClient::readSome(
+    Connection& connection, ResponseParser& parser, Exchange& outcome)
+{
+    auto& buffer = connection.buffer;
+    auto ec = prepareRead(connection, parser, outcome);
+    if (ec)
+        co_return ec;
+    auto n = co_await connection.stream.async_read_some(
+        buffer.prepare(buffer.capacity() - buffer.size()), asio::redirect_error(asio::use_awaitable, ec));
+    buffer.commit(n);
+    if (outcome.lease && connection.isReceiving)
+        outcome.lease->noteProgress(n);
+    if (ec != asio::error::eof)
+        co_return ec;
+    if (!parser.got_some())
+        co_return make_error_code(http::error::end_of_stream);
+    parser.put_eof(ec);
+    co_return ec;
+}
+
+// http::async_read_some() goes on reading while a field or a chunk's header is incomplete; here, memory is drawn before
+// each read.
+asio::awaitable<beast::error_code> HttpClient::readMessage(
+    Connection& connection, ResponseParser& parser, Clock::time_point deadline, Exchange& outcome)
+{
+    parser.body_limit(m_options.bodyLimit);
+    parser.eager(true);
+    parser.setMayGrow([&](std::uint64_t headerMemory) {
+        return draw(connection, connection.buffer.capacity() + headerMemory + parser.get().body().size(), outcome);
+    });
+    bool needsData = connection.buffer.size() == 0;
+    while (!parser.is_done()) {
+        beast::error_code ec;
+        if (needsData)
+            ec = co_await readSome(connection, parser, outcome);
+        if (ec || parser.is_done())
+            co_return ec;
+        connection.buffer.consume(parser.put(connection.buffer.data(), ec));
+        needsData = ec == http::error::need_more || connection.buffer.size() == 0;
+        if (ec && ec != http::error::need_more)
+            co_return ec;
+        if (parser.is_header_done()) {
+            if (!isFramingClear(parser.get(), parser.get().version()))
+                co_return make_error_code(http::error::bad_transfer_encoding);
+            if (!isStatusDefined(parser.get().result_int()))
+                co_return make_error_code(http::error::bad_status);
+            // Only a response that has begun can be stalled: a server may work on a request for as long as it likes.
+            if (outcome.lease && !connection.isReceiving && !parser.is_done()) {
+                outcome.lease->setPhase(BufferBudget::Phase::transfer);
+                connection.isReceiving = true;
+            }
+        }
+        // The stream's own timeout ends only a read that finds no data.
+        if (!parser.is_done() && Clock::now() >= deadline)
+            co_return beast::error_code(beast::error::timeout);
+    }
+    co_return beast::error_code();
 }
 
 asio::awaitable<beast::error_code> HttpClient::readResponse(Connection& connection, const std::string& idHeader,
     const std::string& id, Clock::time_point deadline, Exchange& outcome)
 {
-    beast::error_code ec;
     for (int strays = 0; strays <= maxStrayResponses; ++strays) {
-        http::response_parser<http::string_body> parser;
-        parser.header_limit(maxHeaderBytes);
-        parser.body_limit(m_options.bodyLimit);
-        parser.eager(true);
-        // The stream's own timeout ends only a read that finds no data.
-        while (!ec && !parser.is_done()) {
-            co_await http::async_read_some(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-            if (!ec && parser.is_header_done() && !isFramingClear(parser.get(), parser.get().version()))
-                ec = make_error_code(http::error::bad_transfer_encoding);
-            if (!ec && parser.is_header_done() && !isStatusDefined(parser.get().result_int()))
-                ec = make_error_code(http::error::bad_status);
-            if (!ec && parser.is_header_done() && !drawResponse(parser, outcome))
-                ec = make_error_code(boost::system::errc::not_enough_memory);
-            if (!ec && !parser.is_done() && Clock::now() >= deadline)
-                ec = beast::error::timeout;
-        }
+        ResponseParser parser(maxHeaderBytes);
+        auto ec = co_await readMessage(connection, parser, deadline, outcome);
         if (ec)
             co_return ec;
         // A response without a length ends only with an orderly close of the connection; a reset is an error above.
@@ -236,12 +314,20 @@
             outcome.error = "the response has neither a length nor chunked encoding";
             co_return make_error_code(http::error::partial_message);
         }
-        outcome.response = parser.release();
-        bool isInterim = outcome.response.result_int() < 200;
-        bool matchesRequest = idHeader.empty() || headerOf(outcome.response, idHeader) == id;
-        if (matchesRequest && !isInterim)
+        auto memory = parser.headerMemory() + parser.get().body().size();
+        auto response = parser.release();
+        bool isInterim = response.result_int() < 200;
+        bool matchesRequest = idHeader.empty() || headerOf(response, idHeader) == id;
+        if (matchesRequest && !isInterim) {
+            if (outcome.lease)
+                outcome.lease->record(memory > undrawnBytes ? memory - undrawnBytes : 0);
+            outcome.response = std::move(response);
             co_return ec;
+        }
         outcome.error = "the response belongs to another request";
+        if (outcome.lease && connection.isReceiving)
+            outcome.lease->setPhase(BufferBudget::Phase::processing);
+        connection.isReceiving = false;
     }
     co_return make_error_code(http::error::unexpected_body);
 }
@@ -278,6 +364,8 @@
     }
     if (isAborted(options))
         outcome.error = "the exchange was aborted";
+    if (connection.isEnded)
+        outcome.error = "the response made no progress, and its memory was needed";
     if (outcome.error.empty())
         outcome.error = ec.message();
     if (ec == beast::error::timeout && outcome.state == ExchangeState::incomplete)
@@ -322,9 +410,10 @@
         co_return outcome;
     outcome.wasReused = connection->wasUsed;
     outcome.connection = connection->id;
+    auto ended = Cancellation::create();
     if (m_options.budget)
-        outcome.lease
-            = std::make_shared<BufferBudget::Lease>(m_options.budget->add(BufferBudget::Phase::processing, nullptr));
+        outcome.lease = std::make_shared<BufferBudget::Lease>(
+            m_options.budget->add(BufferBudget::Phase::processing, [ended] { ended->cancel(); }));
     bool isAbandoned = isAborted(options) || (options.cancellation && options.cancellation->isCancelled())
         || (options.mayStillSend && !options.mayStillSend());
     if (isAbandoned) {
@@ -332,10 +421,21 @@
         co_return outcome;
     }
     connection->isRequestSent = false;
+    connection->isReceiving = false;
+    connection->drawn = 0;
+    auto endedId = ended->add([&] {
+        connection->isEnded = true;
+        connection->stream.close();
+    });
     auto callbackId = closeOnCancellation(*connection, options);
     auto abortId = closeOnAbort(*connection, options);
     connection->stream.expires_at(deadline);
     co_await sendAndReceive(*connection, request, options, deadline, outcome);
+    ended->remove(endedId);
+    if (outcome.state != ExchangeState::answered)
+        outcome.lease.reset();
+    if (outcome.lease)
+        outcome.lease->setPhase(BufferBudget::Phase::processing);
     if (options.cancellation)
         options.cancellation->remove(callbackId);
     if (options.abort)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,6 +3,7 @@
 #include "acaciagauge/acaciagauge.hpp"
 #include "net/cancellation.hpp"
 #include "net/http_types.hpp"
+#include "net/message_parser.hpp"
 #include "net/stored_body.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -52,7 +53,8 @@
             0
         }; ///< Wait before a new connection is used, in which the server may close it.
         std::size_t readBufferBytes = 4096; ///< Most that one read of a connection takes.
-        std::shared_ptr<BufferBudget> budget = nullptr; ///< If set, bounds the bytes of responses.
+        std::shared_ptr<BufferBudget> budget = nullptr; ///< If set, bounds the memory of responses.
+        bool mayExceedBudget = false; ///< Responses are counted, but not refused for lack of memory.
         bool acceptCloseDelimited = false; ///< Accepts responses that end with an orderly close of the connection.
     };
 
@@ -88,6 +90,7 @@
 
 private:
     using Clock = std::chrono::steady_clock;
+    using ResponseParser = MessageParser<false, http::string_body>;
 
     struct Connection {
         Connection(asio::io_context& context, std::size_t readBufferBytes)
@@ -100,6 +103,9 @@
         beast::flat_buffer buffer { maxReadAheadBytes };
         bool wasUsed = false;
         bool isRequestSent = false; ///< The current request was written completely.
+        std::uint64_t drawn = 0; ///< From the budget, for the current response.
+        bool isReceiving = false; ///< The header of the current response has arrived, and more of it is missing.
+        bool isEnded = false; ///< The budget has ended the current response.
         Clock::time_point idleSince;
         std::chrono::milliseconds keepAliveTimeout { 0 }; ///< Idle time after which the server closes; 0: not stated.
     };
@@ -113,12 +119,16 @@
     template <typename Body>
     static asio::awaitable<beast::error_code> writeRequest(
         Connection& connection, const http::request<Body>& request, Exchange& outcome);
-    static bool drawResponse(const http::response_parser<http::string_body>& parser, Exchange& outcome);
+    bool draw(Connection& connection, std::uint64_t bytes, Exchange& outcome) const;
+    beast::error_code prepareRead(Connection& connection, const ResponseParser& parser, Exchange& outcome) const;
+    asio::awaitable<beast::error_code> readSome(Connection& connection, ResponseParser& parser, Exchange& outcome);
     static bool isAborted(const ExchangeOptions& options);
     static std::size_t closeOnCancellation(Connection& connection, const ExchangeOptions& options);
     static std::size_t closeOnAbort(Connection& connection, const ExchangeOptions& options);
     asio::awaitable<beast::error_code> readResponse(Connection& connection, const std::string& idHeader,
         const std::string& id, Clock::time_point deadline, Exchange& outcome);
+    asio::awaitable<beast::error_code> readMessage(
+        Connection& connection, ResponseParser& parser, Clock::time_point deadline, Exchange& outcome);
     void returnToPool(const std::string& address, std::unique_ptr<Connection> connection, const Response& response);
     std::unique_ptr<Connection> takeIdle(const std::string& address, const ExchangeOptions& options);
     bool isUsable(Connection& connection, std::chrono::milliseconds idleTimeout) const;
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -1,5 +1,7 @@
 #include "net/http_types.hpp"
 
+#include "net/message_parser.hpp"
+
 #include <algorithm>
 #include <cstdlib>
 
@@ -23,6 +25,14 @@
 
 } // namespace
 
+std::uint64_t fieldMemoryOf(const http::fields& header)
+{
+    std::uint64_t bytes = 0;
+    for (const auto& it : header)
+        bytes += fieldMemory(it.name_string().size(), it.value().size());
+    return bytes;
+}
+
 Response makeResponse(unsigned status, std::string body, std::string_view contentType)
 {
     Response response;
--- a/standins/users_platform.cpp
+++ b/standins/users_platform.cpp
@@ -511,6 +511,10 @@
                 = body["retryAfter"].at("seconds").get<std::string>();
         if (body.contains("garbage"))
             m_store.put("servers/odd", body["garbage"].get<std::string>());
+        if (body.contains("entries")) {
+            for (const auto& it : body["entries"].items())
+                m_store.put("servers/" + it.key(), it.value().get<std::string>());
+        }
         if (body.contains("keepCopy"))
             m_store.keepCopy();
         if (body.contains("restore"))
--- a/tests/e2e/test_memory_limits.cpp
+++ b/tests/e2e/test_memory_limits.cpp
@@ -11,7 +11,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
 
@@ -30,9 +32,10 @@
 
 /// One daemon and one server.
 struct Site {
-    Site(unsigned basePort, std::size_t memory, std::size_t maxBodyBytes)
+    Site(unsigned basePort, std::size_t memory, std::size_t maxBodyBytes, std::size_t descriptors = maxDescriptors)
         : memoryMb(memory)
-        , cluster(optionsFor(basePort, memory))
+        , descriptorLimit(descriptors)
+        , cluster(optionsFor(basePort, memory, descriptors))
     {
         REQUIRE(cluster.waitUntilServing());
         cluster.setFaults(
@@ -40,14 +43,14 @@
         REQUIRE(PlatformCluster::waitUntil([this] { return cluster.status(0).value("version", 0) == 2; }));
     }
 
-    static PlatformCluster::Options optionsFor(unsigned basePort, std::size_t memory)
+    static PlatformCluster::Options optionsFor(unsigned basePort, std::size_t memory, std::size_t descriptors)
     {
         PlatformCluster::Options options;
         options.basePort = basePort;
         options.daemons = 1;
         options.servers = 1;
         options.settings = "[limits]\nmemory_mb = " + std::to_string(memory)
-            + "\ndescriptors = " + std::to_string(maxDescriptors) + "\n";
+            + "\ndescriptors = " + std::to_string(descriptors) + "\n";
         return options;
     }
 
@@ -74,7 +77,7 @@
     {
         CHECK(cluster.processes().poll("d0") == std::nullopt);
         REQUIRE(cluster.processes().isTracked("d0"));
-        CHECK(openDescriptors() <= maxDescriptors);
+        CHECK(openDescriptors() <= descriptorLimit);
         CHECK(PlatformCluster::waitUntil([this] { return cluster.sendRequest(0, true, 100).status == 200; }));
         auto peak = peakMemory();
         WARN("peak memory " << peak / kib << " KiB, limit " << memoryMb * 1'000'000 / kib << " KiB");
@@ -82,9 +85,63 @@
     }
 
     std::size_t memoryMb;
+    std::size_t descriptorLimit;
     PlatformCluster cluster;
 };
 
+/// A server that answers each request with the same bytes, which are no complete response, and keeps its connections.
+class FaultyServer {
+public:
+    FaultyServer(unsigned port, std::string response)
+        : m_response(std::move(response))
+        , m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port) })
+    {
+        asio::co_spawn(m_context, accept(), asio::detached);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~FaultyServer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    FaultyServer(const FaultyServer&) = delete;
+    FaultyServer& operator=(const FaultyServer&) = delete;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            m_sockets.push_back(co_await m_acceptor.async_accept(asio::use_awaitable));
+            asio::co_spawn(m_context, respond(m_sockets.back()), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> respond(asio::ip::tcp::socket& socket)
+    {
+        constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+        std::string request(4 * kib, ' ');
+        auto [ec, n] = co_await socket.async_read_some(asio::buffer(request), asTuple);
+        if (!ec)
+            co_await asio::async_write(socket, asio::buffer(m_response), asTuple);
+    }
+
+    std::string m_response;
+    asio::io_context m_context { 1 };
+    asio::ip::tcp::acceptor m_acceptor;
+    std::deque<asio::ip::tcp::socket> m_sockets;
+    std::thread m_thread;
+};
+
+std::string repeat(const std::string& text, std::size_t count)
+{
+    std::string repeated;
+    for (std::size_t n = 0; n < count; ++n)
+        repeated += text;
+    return repeated;
+}
+
 /// What each client of a crowd sends.
 struct Upload {
     std::size_t bytes = 0; ///< Size of the body.
@@ -217,6 +274,42 @@
     site.check();
 }
 
+// Guards against what a half-received response holds beside its body: a server that sent it to many callers took the
+// process over its memory, and the requests of all other callers with it.
+TEST_CASE("endless and unfinished responses of a faulty server do not exceed the memory")
+{
+    constexpr unsigned clients = 400;
+    constexpr unsigned faultyServers = 8;
+    const std::string fields = repeat("a:\r\n", 3900);
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    auto response = GENERATE_COPY(as<std::string> {}, //
+        ok + "Content-Length: 10\r\n" + fields + "\r\n", // Many fields, and no body.
+        ok + "Transfer-Encoding: chunked\r\n\r\n" + repeat("1\r\na\r\n", 1'000'000), // Small chunks.
+        repeat("HTTP/1.1 102 Processing\r\n" + fields + "\r\n", 3) + ok + fields); // Interim responses.
+    CAPTURE(response.substr(0, 60));
+    Site site(34000, 120, crowdBodyBytes, 2000);
+    std::vector<std::unique_ptr<FaultyServer>> faulty;
+    auto entries = nlohmann::json::object();
+    for (unsigned port = 34030; port < 34030 + faultyServers; ++port) {
+        faulty.push_back(std::make_unique<FaultyServer>(port, response));
+        entries["faulty" + std::to_string(port)] = R"({"address":"127.0.0.1:)" + std::to_string(port)
+            + R"(","born":5,"info":{"service":"floor","version":"v1","zone":"a","concurrency":100},)"
+            + R"("status":{"state":"ready","sequence":1,"warmup_left_ms":0}})";
+    }
+    site.cluster.setFaults(
+        { { "sharded", false }, { "configure", 3 }, { "timeoutMs", 20000 }, { "entries", entries } });
+    REQUIRE(
+        PlatformCluster::waitUntil([&] { return site.cluster.status(0).value("servers", 0U) == 1 + faultyServers; }));
+    Crowd crowd(site);
+    Upload requests;
+    requests.target = "/view/1";
+    crowd.add(clients, requests);
+    crowd.run();
+    std::this_thread::sleep_for(5s);
+    faulty.clear();
+    site.check();
+}
+
 TEST_CASE("a body of the maximal size is served in 120 MB")
 {
     bool isChunked = GENERATE(false, true);
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <malloc.h>
 #include <thread>
 
 using namespace acaciagauge;
@@ -100,6 +101,66 @@
     CHECK(sent < maxBodyBytes + 8 * 1024 * 1024);
 }
 
+/// A server that accepts any number of connections and sends the same bytes on each, and a client with a budget.
+struct BudgetFixture {
+    explicit BudgetFixture(std::uint64_t budgetBytes, std::string responseBytes)
+        : response(std::move(responseBytes))
+        , budget(BufferBudget::create(MemoryBudget::optionsFor(2 * budgetBytes), {}))
+    {
+        HttpClient::Options options;
+        options.budget = budget;
+        options.acceptCloseDelimited = true;
+        client = HttpClient::create(context, options);
+        auto accept = [this]() -> asio::awaitable<void> {
+            while (true) {
+                sockets.push_back(co_await acceptor.async_accept(asio::use_awaitable));
+                asio::co_spawn(context, respond(sockets.back()), asio::detached);
+            }
+        };
+        asio::co_spawn(context, accept, asio::detached);
+    }
+
+    asio::awaitable<void> respond(tcp::socket& socket)
+    {
+        co_await readRequest(socket);
+        boost::system::error_code ec;
+        co_await asio::async_write(socket, asio::buffer(response), asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    void send(std::chrono::milliseconds timeout)
+    {
+        auto run = [this, timeout]() -> asio::awaitable<void> {
+            auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            auto request = makeRequest(http::verb::get, "/");
+            auto exchange = co_await client->exchange(std::move(address), std::move(request), timeout);
+            exchanges.push_back(std::move(exchange));
+        };
+        asio::co_spawn(context, run, asio::detached);
+    }
+
+    std::string response;
+    std::shared_ptr<BufferBudget> budget;
+    asio::io_context context;
+    tcp::acceptor acceptor { context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    std::deque<tcp::socket> sockets;
+    std::shared_ptr<HttpClient> client;
+    std::vector<Exchange> exchanges; ///< Those that have ended.
+};
+
+std::size_t allocatedBytes()
+{
+    auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+std::string repeat(const std::string& text, std::size_t bytes)
+{
+    std::string repeated;
+    while (repeated.size() < bytes)
+        repeated += text;
+    return repeated;
+}
+
 /// Keeps an event loop busy: between two handlers of anything else, it runs one that takes some time.
 struct BusyLoop {
     explicit BusyLoop(asio::io_context& context)
@@ -240,6 +301,76 @@
     checkAbandoned(begin, std::string(4096, 'a'));
 }
 
+// Guards against memory that a half-received response holds beside its body, and that the budget does not count.
+TEST_CASE("half-received responses hold no more memory than the budget")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    auto response = GENERATE_COPY(as<std::string> {}, //
+        head + repeat("a:\r\n", 15'000), // Many fields, and no end of the header.
+        head + "Content-Length: 10\r\n" + repeat("a:\r\n", 15'000) + "\r\n", // Many fields, and no body.
+        "HTTP/1.1 200 " + std::string(16'000, 'a') + "\r\n", // A long reason.
+        head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(60'000, 'a'), // A chunk extension.
+        head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + repeat("a:\r\n", 60'000), // Trailer fields.
+        head + "Transfer-Encoding: chunked\r\n\r\n80000\r\n" + std::string(500'000, 'a'), // A chunk.
+        head + "Transfer-Encoding: chunked\r\n\r\n" + repeat("1\r\na\r\n", 600'000), // Small chunks.
+        head + "\r\n" + std::string(500'000, 'a'), // A body without a length.
+        head + "Content-Length: 500000\r\n\r\n" + std::string(499'999, 'a'), // All but the last byte.
+        repeat("HTTP/1.1 102 Processing\r\n" + repeat("a:\r\n", 15'000) + "\r\n", 16'000)); // Interim responses.
+    CAPTURE(response.substr(0, 60));
+    constexpr std::size_t requests = 300;
+    constexpr std::uint64_t budgetBytes = 4'000'000;
+    constexpr std::size_t connectionBytes = 20 * 1024; // 12 KiB for a connection and 8 KiB for a request.
+    BudgetFixture fixture(budgetBytes, response);
+    auto before = allocatedBytes();
+    for (std::size_t n = 0; n < requests; ++n)
+        fixture.send(10s);
+    std::size_t most = 0;
+    for (int n = 0; n < 200; ++n) {
+        fixture.context.run_for(10ms);
+        most = std::max(most, allocatedBytes() - before);
+        CHECK(fixture.budget->used() <= fixture.budget->capacity());
+    }
+    CHECK(most < budgetBytes + requests * connectionBytes);
+    fixture.exchanges.clear();
+    fixture.sockets.clear();
+    fixture.context.run_for(200ms);
+    fixture.exchanges.clear();
+    CHECK(fixture.budget->used() == 0);
+}
+
+TEST_CASE("a response that makes no progress is ended when its memory is needed")
+{
+    constexpr std::uint64_t budgetBytes = 1'500'000;
+    BudgetFixture fixture(
+        budgetBytes, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(500'000, 'a'));
+    fixture.send(20s);
+    fixture.context.run_for(1500ms);
+    CHECK(fixture.exchanges.empty());
+    fixture.response.append(500'000, 'a');
+    fixture.send(20s);
+    fixture.context.run_for(1s);
+    REQUIRE(fixture.exchanges.size() == 2);
+    CHECK(fixture.exchanges[0].state != fixture.exchanges[1].state);
+    for (const auto& it : fixture.exchanges)
+        CHECK(it.response.body().size() == (it.state == ExchangeState::answered ? 1'000'000 : 0));
+}
+
+TEST_CASE("an idle connection does not keep the read buffer of a large header")
+{
+    BudgetFixture fixture(
+        64'000'000, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Long: " + std::string(15'000, 'a') + "\r\n\r\n");
+    constexpr std::size_t requests = 200;
+    for (std::size_t n = 0; n < requests; ++n)
+        fixture.send(5s);
+    fixture.context.run_for(500ms);
+    REQUIRE(fixture.exchanges.size() == requests);
+    fixture.exchanges.clear();
+    auto withIdleConnections = allocatedBytes();
+    fixture.client->closeIdleConnections("127.0.0.1:" + std::to_string(fixture.acceptor.local_endpoint().port()));
+    // 16 connections are kept.
+    CHECK(withIdleConnections - allocatedBytes() < 16 * 12 * 1024);
+}
+
 TEST_CASE("an endless chunked body is abandoned after a bounded number of bytes")
 {
     checkAbandoned("HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
