Count the fields of responses that wait for their caller

Responses with many fields wait for callers that do not read or have sent requests ahead.

Cause: only the bodies of such responses counted in the budget.

Change: their fields count too, beyond an ordinary header.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -1,5 +1,7 @@
 #include "net/http_session.hpp"
 
+#include "net/message_parser.hpp"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,6 +35,15 @@
         return ec == boost::system::errc::not_enough_memory;
     }
 
+    /// Returns the memory of a response beyond that of an ordinary header, which the budget's share of its request
+    /// covers.
+    std::uint64_t memoryOf(const Response& response)
+    {
+        constexpr std::uint64_t ordinaryHeaderBytes = 4096;
+        auto header = fieldMemoryOf(response);
+        return response.body().size() + (header > ordinaryHeaderBytes ? header : 0);
+    }
+
     Response noMemoryResponse()
     {
         auto response
@@ -344,8 +355,9 @@
     else
         call->response = co_await options.handler(std::move(call->request));
     call->isAnswered = true;
+    call->responseBytes = memoryOf(call->response);
     if (!m_isClosed)
-        m_responseBytes += call->response.body().size();
+        m_responseBytes += call->responseBytes;
     recordHeldBytes();
     --m_server->m_inFlight;
     m_responseReady.cancel();
@@ -399,7 +411,7 @@
         auto ec = co_await writeResponse(call->response);
         if (!m_calls.empty())
             m_calls.pop_front();
-        m_responseBytes -= std::min<std::uint64_t>(m_responseBytes, call->response.body().size());
+        m_responseBytes -= std::min(m_responseBytes, call->responseBytes);
         recordHeldBytes();
         m_slotFreed.cancel();
         if (ec) {
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -35,6 +35,7 @@
         Request request;
         std::shared_ptr<StoredBody> body; ///< Null without a budget; the request itself has the body then.
         Response response;
+        std::uint64_t responseBytes = 0; ///< That the response counts in the budget.
         bool isAnswered = false;
         bool keepAlive = true;
         std::shared_ptr<Cancellation> cancellation = Cancellation::create();
--- a/tests/test_http_session.cpp
+++ b/tests/test_http_session.cpp
@@ -84,6 +84,36 @@
     CHECK(second < third);
 }
 
+// Guards against responses with many fields that wait for a caller, and that the budget does not count.
+TEST_CASE("the budget counts the fields of responses that have not been written")
+{
+    asio::io_context context;
+    Response many = makeResponse(200, "", "text/plain");
+    for (int n = 0; n < 3000; ++n)
+        many.insert("a", "");
+    auto budget = BufferBudget::create(MemoryBudget::optionsFor(64'000'000), {});
+    HttpServer::Options options;
+    options.address = "127.0.0.1:0";
+    options.budget = budget;
+    options.storedBodyHandler = [&](Request request, std::shared_ptr<StoredBody>,
+                                    std::shared_ptr<Cancellation>) -> asio::awaitable<Response> {
+        bool isSlow = request.target() == "/slow";
+        asio::steady_timer timer(context, isSlow ? 300ms : 0ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_return many;
+    };
+    auto server = HttpServer::create(context, options).value();
+    server->start();
+    asio::io_context callerContext;
+    tcp::socket caller(callerContext);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server->port()) });
+    asio::write(caller, asio::buffer(getRequest("/slow") + getRequest("/1") + getRequest("/2")));
+    context.run_for(150ms);
+    CHECK(budget->used() >= 2 * 3000 * 64);
+    context.run_for(500ms);
+    CHECK(budget->used() < 16 * 1024);
+}
+
 TEST_CASE("a disconnect is detected while the request runs")
 {
     Fixture fixture;
