--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -348,14 +348,14 @@
     const ExchangeOptions& options, Clock::time_point deadline, Exchange& outcome)
 {
     beast::error_code ec;
+    auto id = options.idHeader.empty() ? std::string() : headerOf(request, options.idHeader);
     if (options.body) {
-        http::request<BlockBody> message(request.base(), options.body);
+        http::request<BlockBody> message(std::move(request.base()), options.body);
         message.prepare_payload();
         ec = co_await writeRequest(connection, message, outcome);
     } else {
         ec = co_await writeRequest(connection, request, outcome);
     }
-    auto id = options.idHeader.empty() ? std::string() : headerOf(request, options.idHeader);
     if (!ec)
         ec = co_await readResponse(connection, options.idHeader, id, deadline, outcome);
     if (!ec) {
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -1,7 +1,5 @@
 #include "net/http_session.hpp"
 
-#include "net/message_parser.hpp"
-
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +19,9 @@
 
     constexpr std::size_t readChunkBytes = 4096;
 
+    /// A request is copied when it is sent to a server, and kept for further attempts.
+    constexpr std::uint64_t copiesOfHeader = 2;
+
     /// Time that the caller has to close its side after the last response.
     constexpr auto lingerTime = std::chrono::seconds(2);
 
@@ -246,15 +247,55 @@
     });
 }
 
-template <typename Body>
-asio::awaitable<beast::error_code> HttpSession::readMessage(http::request_parser<Body>& parser, StoredBody* body)
+// Enlarges a read buffer that is full. Memory is drawn before it is used.
+asio::awaitable<beast::error_code> HttpSession::readSome(std::uint64_t headerMemory, StoredBody* body)
 {
-    auto limits = m_server->limits();
-    parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
+    auto capacity = std::max(m_buffer.capacity(), readChunkBytes);
+    if (m_buffer.size() == capacity)
+        capacity = std::min(m_buffer.max_size(), 2 * capacity);
+    if (m_buffer.size() == capacity)
+        co_return make_error_code(http::error::buffer_overflow);
+    if (body && !body->drawOverhead(headerMemory + capacity))
+        co_return make_error_code(boost::system::errc::not_enough_memory);
+    m_buffer.reserve(capacity);
     beast::error_code ec;
+    auto n = co_await m_socket.async_read_some(
+        m_buffer.prepare(m_buffer.capacity() - m_buffer.size()), asio::redirect_error(asio::use_awaitable, ec));
+    m_buffer.commit(n);
+    co_return ec;
+}
+
+// Reads up to the end of the header or, with `isWhole`, of the message.
+template <typename Body>
+asio::awaitable<beast::error_code> HttpSession::parse(MessageParser<true, Body>& parser, StoredBody* body, bool isWhole)
+{
+    parser.eager(isWhole);
+    bool needsData = m_buffer.size() == 0;
+    while (isWhole ? !parser.is_done() : !parser.is_header_done()) {
+        beast::error_code ec;
+        if (needsData)
+            ec = co_await readSome(copiesOfHeader * parser.headerMemory(), body);
+        if (ec == asio::error::eof)
+            ec = make_error_code(parser.got_some() ? http::error::partial_message : http::error::end_of_stream);
+        if (ec)
+            co_return ec;
+        m_buffer.consume(parser.put(m_buffer.data(), ec));
+        needsData = ec == http::error::need_more || m_buffer.size() == 0;
+        if (ec && ec != http::error::need_more)
+            co_return ec;
+    }
+    co_return beast::error_code();
+}
+
+template <typename Body>
+asio::awaitable<beast::error_code> HttpSession::readMessage(MessageParser<true, Body>& parser, StoredBody* body)
+{
+    parser.body_limit(m_server->limits().bodyBytes);
+    parser.setMayGrow([this, body](std::uint64_t headerMemory) {
+        return !body || body->drawOverhead(copiesOfHeader * headerMemory + m_buffer.capacity());
+    });
     enterPhase(Phase::header);
-    co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    auto ec = co_await parse(parser, body, false);
     if (!ec)
         ec = checkFraming(parser.get().base(), parser.chunked());
     if (!ec && body && !body->reserve(parser.content_length().value_or(0)))
@@ -266,7 +307,7 @@
     }
     if (!ec) {
         enterPhase(Phase::body);
-        co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await parse(parser, body, true);
     }
     co_return ec;
 }
@@ -278,16 +319,19 @@
     beast::error_code ec;
     if (m_server->m_options.budget) {
         call->body = StoredBody::create(addLease(BufferBudget::Phase::transfer));
-        http::request_parser<BlockBody> parser;
+        MessageParser<true, BlockBody> parser(m_server->limits().headerBytes);
         parser.get().body() = call->body;
         if (call->body->reserve(0))
             ec = co_await readMessage(parser, call->body.get());
         else
             ec = make_error_code(boost::system::errc::not_enough_memory);
         call->body->finish();
+        // From here on, the read buffer belongs to the next request.
+        call->body->drawOverhead(copiesOfHeader * parser.headerMemory());
+        recordHeldBytes();
         call->request.base() = std::move(parser.get().base());
     } else {
-        http::request_parser<http::string_body> parser;
+        MessageParser<true, http::string_body> parser(m_server->limits().headerBytes);
         ec = co_await readMessage(parser, nullptr);
         if (!ec)
             call->request = parser.release();
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_server.hpp"
+#include "net/message_parser.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <deque>
@@ -52,7 +53,10 @@
     asio::awaitable<void> readLoop();
     asio::awaitable<bool> readRequest();
     template <typename Body>
-    asio::awaitable<beast::error_code> readMessage(http::request_parser<Body>& parser, StoredBody* body);
+    asio::awaitable<beast::error_code> readMessage(MessageParser<true, Body>& parser, StoredBody* body);
+    template <typename Body>
+    asio::awaitable<beast::error_code> parse(MessageParser<true, Body>& parser, StoredBody* body, bool isWhole);
+    asio::awaitable<beast::error_code> readSome(std::uint64_t headerMemory, StoredBody* body);
     void startCall(std::shared_ptr<Call> call);
     BufferBudget::Lease addLease(BufferBudget::Phase phase);
     asio::awaitable<beast::error_code> writeResponse(const Response& response);
--- a/src/net/stored_body.cpp
+++ b/src/net/stored_body.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// Drawn for every request besides its body: header, buffers and the state of its handler.
-    constexpr std::uint64_t requestOverhead = 8ULL * 1024;
+    /// Drawn for every request besides its body, at least: header, buffers and the state of its handler.
+    constexpr std::uint64_t minOverhead = 8ULL * 1024;
 
     /// Blocks of a body of unknown length double it up to the larger size. The larger size stays below that from which
     /// malloc maps pages for each allocation (128 KiB).
@@ -17,6 +17,12 @@
 
 } // namespace
 
+StoredBody::StoredBody(BufferBudget::Lease lease)
+    : m_lease(std::move(lease))
+    , m_overhead(minOverhead)
+{
+}
+
 std::shared_ptr<StoredBody> StoredBody::create(BufferBudget::Lease lease)
 {
     return std::shared_ptr<StoredBody>(new StoredBody(std::move(lease)));
@@ -25,7 +31,16 @@
 bool StoredBody::reserve(std::uint64_t length)
 {
     m_announced = length;
-    return m_lease.resize(requestOverhead + length);
+    return m_lease.resize(m_overhead + length);
+}
+
+bool StoredBody::drawOverhead(std::uint64_t bytes)
+{
+    auto overhead = std::max(bytes, minOverhead);
+    if (overhead > m_overhead && !m_lease.resize(overhead + std::max(m_announced, m_capacity)))
+        return false;
+    m_overhead = overhead;
+    return true;
 }
 
 bool StoredBody::addBlock()
@@ -34,7 +49,7 @@
     if (m_announced > m_capacity)
         capacity = static_cast<std::size_t>(std::min<std::uint64_t>(blockBytes, m_announced - m_capacity));
     bool isDrawn = m_capacity + capacity <= m_announced;
-    if (!isDrawn && !m_lease.resize(requestOverhead + m_capacity + capacity))
+    if (!isDrawn && !m_lease.resize(m_overhead + m_capacity + capacity))
         return false;
     // Not make_unique: it would initialize the bytes, and so make pages resident that are never filled.
     m_blocks.push_back({ std::unique_ptr<char[]>(new char[capacity]), 0, capacity });
--- a/src/net/stored_body.hpp
+++ b/src/net/stored_body.hpp
@@ -19,6 +19,11 @@
     /// @return false if the budget has no room
     bool reserve(std::uint64_t length);
 
+    /// @brief Draws the memory that the request holds beside its body: its header, and the read buffer of its
+    /// connection.
+    /// @return false if the budget has no room
+    bool drawOverhead(std::uint64_t bytes);
+
     /// @brief Appends bytes. @return false if the budget has no room
     bool append(const char* data, std::size_t length);
 
@@ -36,17 +41,14 @@
         std::size_t capacity = 0;
     };
 
-    explicit StoredBody(BufferBudget::Lease lease)
-        : m_lease(std::move(lease))
-    {
-    }
-
+    explicit StoredBody(BufferBudget::Lease lease);
     bool addBlock();
 
     BufferBudget::Lease m_lease;
     std::vector<Block> m_blocks;
     std::uint64_t m_size = 0;
     std::uint64_t m_capacity = 0; ///< Of all blocks.
+    std::uint64_t m_overhead; ///< Beside the body.
     std::uint64_t m_announced = 0; ///< Length that was drawn in advance.
 };
 
--- a/tests/test_http_session.cpp
+++ b/tests/test_http_session.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <malloc.h>
 
 using namespace acaciagauge;
 using namespace acaciagauge::net;
@@ -114,6 +116,64 @@
     CHECK(budget->used() < 16 * 1024);
 }
 
+// Guards against memory that a half-received request holds beside its body, and that the budget does not count: a crowd
+// of such requests, each within the limits, took the process over its memory.
+TEST_CASE("half-received requests hold no more memory than the budget")
+{
+    const std::string head = "POST /1 HTTP/1.1\r\nHost: a\r\n";
+    std::string fields;
+    for (int n = 0; n < 3900; ++n)
+        fields += "a:\r\n";
+    auto request = GENERATE_COPY(as<std::string> {}, //
+        head + fields, // Many fields, and no end of the header.
+        head + "Content-Length: 10\r\n" + fields + "\r\n", // Many fields, and no body.
+        head + "Content-Length: 10\r\nX: " + std::string(16'000, 'a') + "\r\n\r\n", // A long field.
+        head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(60'000, 'a'), // A chunk extension.
+        head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + fields + fields + fields); // Trailer fields.
+    CAPTURE(request.substr(0, 80));
+    constexpr std::size_t clients = 300;
+    constexpr std::uint64_t budgetBytes = 4'000'000;
+    constexpr std::size_t connectionBytes = 20 * 1024; // 12 KiB for a connection and 8 KiB for a request.
+    asio::io_context context;
+    auto budget = BufferBudget::create(MemoryBudget::optionsFor(2 * budgetBytes), {});
+    HttpServer::Options options;
+    options.address = "127.0.0.1:0";
+    options.budget = budget;
+    options.limits = [] {
+        HttpServerLimits limits;
+        limits.headerBytes = 16 * 1024;
+        return limits;
+    };
+    options.storedBodyHandler
+        = [](Request, std::shared_ptr<StoredBody>, std::shared_ptr<Cancellation>) -> asio::awaitable<Response> {
+        co_return makeResponse(200, "", "text/plain");
+    };
+    auto server = HttpServer::create(context, options).value();
+    server->start();
+    asio::io_context callerContext;
+    std::deque<tcp::socket> callers;
+    auto allocated = [] {
+        auto info = ::mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    auto before = allocated();
+    std::size_t most = 0;
+    for (std::size_t n = 0; n < clients; ++n) {
+        callers.emplace_back(callerContext)
+            .connect({ asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server->port()) });
+        boost::system::error_code ec;
+        asio::write(callers.back(), asio::buffer(request), ec);
+        context.run_for(2ms);
+        most = std::max(most, allocated() - before);
+        CHECK(budget->used() <= budget->capacity());
+    }
+    context.run_for(200ms);
+    CHECK(std::max(most, allocated() - before) < budgetBytes + clients * connectionBytes);
+    callers.clear();
+    context.run_for(300ms);
+    CHECK(budget->used() == 0);
+}
+
 TEST_CASE("a disconnect is detected while the request runs")
 {
     Fixture fixture;
