Give the memory of a request's read buffer back once it has been read

Callers: none has been seen to be harmed; requests could be refused for lack of memory earlier than necessary.

Cause: drawOverhead() noted a smaller overhead without returning the difference to the budget, so a request counted its connection's read buffer until it was answered.

Change: the budget is told of a smaller overhead too. A response that arrived in one read no longer sets a phase of its lease that it never left.

Evidence: by reading; test_http_session and test_http_client pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -434,7 +434,7 @@
     ended->remove(endedId);
     if (outcome.state != ExchangeState::answered)
         outcome.lease.reset();
-    if (outcome.lease)
+    if (outcome.lease && connection->isReceiving)
         outcome.lease->setPhase(BufferBudget::Phase::processing);
     if (options.cancellation)
         options.cancellation->remove(callbackId);
--- a/src/net/stored_body.cpp
+++ b/src/net/stored_body.cpp
@@ -37,7 +37,7 @@
 bool StoredBody::drawOverhead(std::uint64_t bytes)
 {
     auto overhead = std::max(bytes, minOverhead);
-    if (overhead > m_overhead && !m_lease.resize(overhead + std::max(m_announced, m_capacity)))
+    if (overhead != m_overhead && !m_lease.resize(overhead + std::max(m_announced, m_capacity)))
         return false;
     m_overhead = overhead;
     return true;
