--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -19,7 +19,7 @@
 /// A connection to the store or to a server is closed if sent data stays unacknowledged for this long.
 constexpr auto tcpUserTimeout = std::chrono::milliseconds(1000);
 
-/// Largest body of a server's answer to a grant or a release of keys, which has none of use.
+/// Largest body of a server's answer to a grant or a release of keys. Only its status and headers are used.
 constexpr std::uint64_t maxOrderAnswerBytes = 16 * 1024;
 
 constexpr int exitInvalidSettings = 2;
