Take a refused order beside a newer entry for a proof that the owner has ended

Callers: requests on the keys of a server whose address another process had taken over were refused until the server's grants had expired, 8 to 10 s.

Cause: asks the process at the address instead of believing the entry, and took only 421 for an answer of another process. A process of a service without keys rejects orders as malformed.

Change: a refused order is a proof if a server with a later start has the address: an owner refuses neither a release nor a renewal.

--- a/src/core/ownership/key_assigner.cpp
+++ b/src/core/ownership/key_assigner.cpp
@@ -37,6 +37,20 @@
     return { {}, KeyLoad::create({}, now), ServerSpeeds::create({}, now), false };
 }
 
+namespace {
+
+    bool hasNewerServerAtAddress(const std::map<ServerId, KnownServer>& servers, const ServerRun& owner)
+    {
+        auto known = servers.find(owner.id);
+        return known != servers.end() && std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
+            const auto& entry = it.second.entry;
+            return it.first != owner.id && entry.address == known->second.entry.address
+                && entry.run.startedMs > owner.startedMs;
+        });
+    }
+
+} // namespace
+
 KeyAssigner KeyAssigner::create(Options options, Epoch epoch, const KeyOwnerMap& recorded, TimePoint now)
 {
     KeyAssigner assigner(options, epoch, now);
@@ -647,6 +661,11 @@
     auto& range = found->second;
     range.orderId = 0;
     range.nextOrderAt = now + m_options.retryDelay;
+    // A server never refuses to release its keys, nor a renewal: another process uses the address.
+    bool isReplaced = event.outcome == KeyOrderOutcome::refused && hasNewerServerAtAddress(m_servers, range.owner);
+    if (isReplaced)
+        return markLost(
+            sent.service, range, "a newer server has its address, and the process there refuses its orders");
     if (sent.isRelease) {
         if (event.outcome == KeyOrderOutcome::done) {
             range.handover = event.handover;
--- a/tests/support/key_ownership_simulation.cpp
+++ b/tests/support/key_ownership_simulation.cpp
@@ -161,6 +161,12 @@
     return KeyOrderOutcome::done;
 }
 
+// A server without keys knows no orders and rejects them as malformed.
+KeyOrderOutcome KeyOwnershipSimulation::outcomeAtWrongServer(const Server& server)
+{
+    return server.entry.service == service ? KeyOrderOutcome::wrongServer : KeyOrderOutcome::refused;
+}
+
 void KeyOwnershipSimulation::sendGrant(SendKeyGrant order, Epoch epoch)
 {
     auto timeout = m_options.assigner.orderTimeout;
@@ -179,7 +185,7 @@
         if (!server || server->isUnreachable || isLost)
             return respond(epoch, ended, timeout - 20ms);
         if (server->entry.run.id != order.server.id) {
-            ended.outcome = KeyOrderOutcome::wrongServer;
+            ended.outcome = outcomeAtWrongServer(*server);
             return respond(epoch, ended, 2ms);
         }
         auto arrived = m_now;
@@ -209,7 +215,7 @@
         if (!server || server->isUnreachable || isLost)
             return respond(epoch, ended, 4s);
         if (server->entry.run.id != order.server.id) {
-            ended.outcome = KeyOrderOutcome::wrongServer;
+            ended.outcome = outcomeAtWrongServer(*server);
             return respond(epoch, ended, 2ms);
         }
         for (auto key : m_sampledKeys) {
--- a/tests/support/key_ownership_simulation.hpp
+++ b/tests/support/key_ownership_simulation.hpp
@@ -120,6 +120,7 @@
     void sendGrant(SendKeyGrant order, Epoch epoch);
     void sendRelease(SendKeyRelease order, Epoch epoch);
     void respond(Epoch epoch, KeyOrderEnded ended, Duration after);
+    static KeyOrderOutcome outcomeAtWrongServer(const Server& server);
     KeyOrderOutcome applyGrant(Server& server, const SendKeyGrant& order, TimePoint arrived);
     void write(WriteOwnerChunks write, Epoch epoch);
     bool applyWrite(const WriteOwnerChunks& write, Epoch epoch, const std::map<ChunkId, std::uint64_t>& expected);
