--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -130,8 +130,8 @@
 TEST_CASE("an entry that lacks a field of a server, or has one of another type, names no server")
 {
     auto decode = platform::documentsPort().decodeServer;
-    auto field = GENERATE(as<std::string> {}, "/address", "/info", "/info/service", "/info/version", "/info/zone",
-        "/info/concurrency", "/status", "/status/state", "/status/sequence", "/status/warmup_left_ms");
+    auto field = GENERATE(as<std::string> {}, "/address", "/born", "/info", "/info/service", "/info/version",
+        "/info/zone", "/info/concurrency", "/status", "/status/state", "/status/sequence", "/status/warmup_left_ms");
     CAPTURE(field);
     auto pointer = nlohmann::json::json_pointer(field);
     auto document = nlohmann::json::parse(server);
