--- a/tests/test_catalog.cpp
+++ b/tests/test_catalog.cpp
@@ -74,6 +74,7 @@
     CHECK(fixture.catalog.servers().servers().size() == 1);
 }
 
+// Guards against an odd entry under a live server's id that moves the server to another address or run.
 TEST_CASE("a refused entry changes nothing that stood")
 {
     Fixture fixture;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -338,6 +338,7 @@
     CHECK(fixture.budget->used() == 0);
 }
 
+// Guards against stalled responses of a faulty server that keep the budget from the responses of all other servers.
 TEST_CASE("a response that makes no progress is ended when its memory is needed")
 {
     constexpr std::uint64_t budgetBytes = 1'500'000;
@@ -355,6 +356,7 @@
         CHECK(it.response.body().size() == (it.state == ExchangeState::answered ? 1'000'000 : 0));
 }
 
+// Guards against idle connections that keep up to 64 KiB each, which no budget counts.
 TEST_CASE("an idle connection does not keep the read buffer of a large header")
 {
     BudgetFixture fixture(
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -160,6 +160,7 @@
     CHECK_FALSE(decode("i-1", document.dump()));
 }
 
+// Guards against a weight or a limit that is cut off or wraps around, and is in force then.
 TEST_CASE("a desired state with a number that is not a whole number, or out of range, is refused")
 {
     auto decode = platform::documentsPort().decodeDesiredState;
@@ -172,6 +173,7 @@
     CHECK_FALSE(decode(document.dump()));
 }
 
+// Guards against a negative or an endless timeout in force.
 TEST_CASE("a desired state with a duration that is negative, endless or no number is refused")
 {
     auto decode = platform::documentsPort().decodeDesiredState;
