--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
@@ -277,3 +279,42 @@
     document[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(number);
     CHECK_FALSE(decodeOwnerChunk(0, document.dump()));
 }
+
+// Guards against an overloaded owner whose answer passes for that of another process at its address: its keys would be
+// given to others.
+TEST_CASE("only a status that says nothing of load means that a process refuses an order")
+{
+    auto [status, expected] = GENERATE(table<unsigned, KeyOrderOutcome>({
+        { 200, KeyOrderOutcome::done },
+        { 400, KeyOrderOutcome::refused },
+        { 404, KeyOrderOutcome::refused },
+        { 408, KeyOrderOutcome::unanswered },
+        { 409, KeyOrderOutcome::staleFence },
+        { 421, KeyOrderOutcome::wrongServer },
+        { 429, KeyOrderOutcome::unanswered },
+        { 500, KeyOrderOutcome::unanswered },
+        { 503, KeyOrderOutcome::unanswered },
+    }));
+    CAPTURE(status);
+    net::asio::io_context context;
+    net::HttpServer::Options options;
+    options.address = "127.0.0.1:0";
+    options.handler = [answer = status](net::Request) -> net::asio::awaitable<net::Response> {
+        co_return net::makeResponse(answer, "", "text/plain");
+    };
+    auto server = net::HttpServer::create(context, options).value();
+    server->start();
+    auto orders = platform::keyOrdersPort(net::HttpClient::create(context, {}));
+    std::vector<KeyOrderOutcome> outcomes;
+    auto send = [&]() -> net::asio::awaitable<void> {
+        SendKeyGrant grant;
+        grant.address = "127.0.0.1:" + std::to_string(server->port());
+        SendKeyRelease release;
+        release.address = grant.address;
+        outcomes.push_back((co_await orders.grant(grant, 2s, nullptr)).outcome);
+        outcomes.push_back((co_await orders.release(release, 2s, nullptr)).outcome);
+    };
+    net::asio::co_spawn(context, send, net::asio::detached);
+    context.run_for(300ms);
+    CHECK(outcomes == std::vector { expected, expected });
+}
