Tests of memory limits use ports that the kernel does not hand out

Cause: its processes listen on ports from 34000 on. Those are in the range that the kernel gives to outgoing connections (32768 to 60999), so any connection of another program can hold one.

Change: ports from 31600 on, as the other process tests have. Bounds and checks are as before.

Evidence: with connections held on 34000 to 34159, the former test fails in the same way, and the changed one passes (75 assertions).

--- a/tests/e2e/test_memory_limits.cpp
+++ b/tests/e2e/test_memory_limits.cpp
@@ -227,7 +227,7 @@
 
 TEST_CASE("many large legal bodies do not exceed the memory")
 {
-    Site site(34000, 64, crowdBodyBytes);
+    Site site(31600, 64, crowdBodyBytes);
     Crowd crowd(site);
     crowd.add(4, { crowdBodyBytes });
     crowd.add(12, { crowdBodyBytes, 1 });
@@ -238,7 +238,7 @@
 
 TEST_CASE("bodies far over the limit do not exceed the memory")
 {
-    Site site(34000, 64, crowdBodyBytes);
+    Site site(31600, 64, crowdBodyBytes);
     Crowd crowd(site);
     crowd.add(8, { 100 * crowdBodyBytes });
     crowd.add(8, { 100 * crowdBodyBytes, 0, 64 * kib, true });
@@ -250,7 +250,7 @@
 TEST_CASE("many chunked bodies do not exceed the memory")
 {
     auto piece = GENERATE(std::size_t { 256 * kib }, std::size_t { 16 });
-    Site site(34000, 64, crowdBodyBytes);
+    Site site(31600, 64, crowdBodyBytes);
     Crowd crowd(site);
     crowd.add(4, { crowdBodyBytes, 0, piece, true });
     crowd.add(20, { crowdBodyBytes, piece, piece, true });
@@ -260,7 +260,7 @@
 
 TEST_CASE("responses to callers that do not read do not exceed the memory")
 {
-    Site site(34000, 64, crowdBodyBytes);
+    Site site(31600, 64, crowdBodyBytes);
     Crowd crowd(site);
     Upload requests;
     requests.target = "/view/1?bytes=" + std::to_string(7 * mib);
@@ -287,10 +287,10 @@
         ok + "Transfer-Encoding: chunked\r\n\r\n" + repeat("1\r\na\r\n", 1'000'000), // Small chunks.
         repeat("HTTP/1.1 102 Processing\r\n" + fields + "\r\n", 3) + ok + fields); // Interim responses.
     CAPTURE(response.substr(0, 60));
-    Site site(34000, 120, crowdBodyBytes, 2000);
+    Site site(31600, 120, crowdBodyBytes, 2000);
     std::vector<std::unique_ptr<FaultyServer>> faulty;
     auto entries = nlohmann::json::object();
-    for (unsigned port = 34030; port < 34030 + faultyServers; ++port) {
+    for (unsigned port = 31630; port < 31630 + faultyServers; ++port) {
         faulty.push_back(std::make_unique<FaultyServer>(port, response));
         entries["faulty" + std::to_string(port)] = R"({"address":"127.0.0.1:)" + std::to_string(port)
             + R"(","born":5,"info":{"service":"floor","version":"v1","zone":"a","concurrency":100},)"
@@ -314,7 +314,7 @@
 {
     bool isChunked = GENERATE(false, true);
     constexpr std::size_t bodyBytes = 64 * mib;
-    Site site(34000, 120, bodyBytes);
+    Site site(31600, 120, bodyBytes);
     asio::ip::tcp::iostream caller(*net::parseEndpoint(site.cluster.callersAddress(0)));
     caller
         << "POST /bid/1 HTTP/1.1\r\nHost: a.example\r\nAcaciagauge-Request-Id: large\r\nAcaciagauge-Shard-Key: 100\r\n"
