--- a/review/standins3.py
+++ b/review/standins3.py
@@ -417,6 +417,7 @@
 
     service = "floor"
     host = "a.example"
+    view_type = "safe"  # Kind of the route /view/.
     sharded = True  # Whether the service is divided by key.
     limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
     zones = ["a", "b"]
@@ -471,7 +472,7 @@
         self.version += 3
         routes = {"columns": ["name", "hostname", "prefix", "route_type", "timeout_ms", "target_latency_ms", "priority",
                               "max_attempts", "service"],
-                  "rows": [["view", self.host, "/view/", "safe", timeout_ms, 500, 2, 2, self.service],
+                  "rows": [["view", self.host, "/view/", self.view_type, timeout_ms, 500, 2, 2, self.service],
                            ["bid", self.host, "/bid/", "unsafe", timeout_ms, 600, 1, 2, self.service]]}
         services = {"columns": ["name", "health_check", "max_connections", "sharded", "warm_s"],
                     "rows": [[self.service, "/health", 130, self.sharded, 2.0]]}
